--- a/packages/config/src/chivelead_config/_internal/fields.py
+++ b/packages/config/src/chivelead_config/_internal/fields.py
@@ -6,6 +6,7 @@
 
 import configparser
 import dataclasses
+import types
 import typing
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
@@ -105,36 +106,25 @@
     Returns:
         The section, or None if a field was at fault.
     """
-    source, section = place
     before = len(problems)
     hints = typing.get_type_hints(kind)
     fields = dataclasses.fields(typing.cast('Any', kind))
     known = {field.name for field in fields}
-    for name in raw:
-        if name not in known:
-            names = ', '.join(sorted(known))
-            problems.append(
-                Problem(
-                    source, section, name, f'unknown field; one of {names}'
-                ),
-            )
+    for name in sorted(set(raw) - known):
+        names = ', '.join(sorted(known))
+        problems.append(Problem(*place, name, f'unknown field; one of {names}'))
     accepted: dict[str, Any] = {}
     for field in fields:
         spec = spec_of(field)
-        if field.name in raw:
+        text = raw.get(field.name)
+        if text is not None:
             try:
-                accepted[field.name] = _convert(
-                    hints[field.name],
-                    spec,
-                    raw[field.name],
-                )
+                accepted[field.name] = _convert(hints[field.name], spec, text)
             except ValueError as error:
-                problems.append(
-                    Problem(source, section, field.name, str(error)),
-                )
+                problems.append(Problem(*place, field.name, str(error)))
         elif spec.required:
             expected = f'missing; expected {describe(hints[field.name], spec)}'
-            problems.append(Problem(source, section, field.name, expected))
+            problems.append(Problem(*place, field.name, expected))
     return None if len(problems) > before else kind(**accepted)
 
 
@@ -193,9 +183,6 @@
     return text.strip()
 
 
-_CONVERTERS: Mapping[type, Callable[[str, str], Any]] = {
-    bool: _to_bool,
-    int: _to_int,
-    float: _to_float,
-    str: _to_str,
-}
+_CONVERTERS: Mapping[type, Callable[[str, str], Any]] = types.MappingProxyType(
+    {bool: _to_bool, int: _to_int, float: _to_float, str: _to_str},
+)
--- a/packages/coordination/src/chivelead_coordination/_internal/gossip.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/gossip.py
@@ -1,6 +1,7 @@
 """Spread of membership, and detection of nodes that have gone."""
 
 import asyncio
+import contextlib
 import logging
 import random
 
@@ -20,6 +21,8 @@
 logger = logging.getLogger(__name__)
 
 _PERIOD_S = 1.0
+_NEWS_PERIOD_S = 0.15
+_JITTER = (0.8, 1.2)
 _TIMEOUT_MS = 900
 _REMOTE_EVERY = 2
 _WATCHED_NEIGHBOURS = 2
@@ -40,9 +43,12 @@
         self.newer_peers: asyncio.Queue[str] = asyncio.Queue()
         self._membership = membership
         self._network = network
-        self._random = random.Random(stable_hash(membership.own.boot_id))  # noqa: S311
+        seed = stable_hash(membership.own.boot_id)
+        self._random = random.Random(seed)  # noqa: S311
         self._misses: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._stirred = asyncio.Event()
+        membership.listen(lambda _: self._stirred.set())
 
     async def start(self) -> None:
         """Begin to gossip."""
@@ -117,7 +123,7 @@
     async def _gossip_forever(self) -> None:
         turn = 0
         while True:
-            await asyncio.sleep(_PERIOD_S * self._random.uniform(0.8, 1.2))
+            await self._pause()
             turn += 1
             partner = self._partner(remote=turn % _REMOTE_EVERY == 0)
             if partner is not None:
@@ -127,6 +133,18 @@
                     logger.debug('gossip with %s: %s', partner, error)
             self._membership.forget_old()
 
+    async def _pause(self) -> None:
+        """Wait for the next period, which is short while there is news."""
+        factor = self._random.uniform(*_JITTER)
+        if not self._membership.has_news:
+            self._stirred.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PERIOD_S * factor):
+                    await self._stirred.wait()
+                    await asyncio.sleep(_NEWS_PERIOD_S * factor)
+            return
+        await asyncio.sleep(_NEWS_PERIOD_S * factor)
+
     def _partner(self, *, remote: bool) -> str | None:
         own = self._membership.own
         candidates = [
--- a/packages/coordination/src/chivelead_coordination/_internal/ledger.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/ledger.py
@@ -19,7 +19,7 @@
 from chivelead_config import RateBucket
 from chivelead_protocol import Loan
 
-SHARE_UNITS = 1 << 14
+SHARE_UNITS = 16384
 GRANT_MS = 250.0
 LOAN_MS = 4000.0
 CLOCK_MARGIN_MS = 50.0
--- a/packages/coordination/src/chivelead_coordination/_internal/limiters.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/limiters.py
@@ -20,7 +20,7 @@
 from chivelead_coordination._internal.rates import RateCoordinator
 
 _TAKE_TIMEOUT_MS = 300.0
-_PREFETCH_MS = 40.0
+_PREFETCH_MS = 100.0
 _REFUSE_MS = 20.0
 _ROUNDS = 3
 _MS_PER_S = 1000
@@ -163,6 +163,11 @@
             self._settled.append(grant.grant_id)
         return False
 
+    @property
+    def tokens(self) -> int:
+        """Return the tokens at hand, the expired ones included."""
+        return sum(grant.tokens for grant in self._held)
+
     def give_back(self) -> None:
         """Return a token that was spent in this step."""
         self._held[0].tokens += 1
@@ -200,6 +205,7 @@
         for _ in range(_ROUNDS):
             empty = self._spend_all(names)
             if empty is None:
+                self._refill_ahead(names)
                 return 0
             pool = self._pool(empty)
             if now_ms() < pool.refuse_until_ms:
@@ -227,6 +233,18 @@
             spent.append(pool)
         return None
 
+    def _refill_ahead(self, names: tuple[str, ...]) -> None:
+        """Ask for more tokens before a pool is empty, so no call waits."""
+        for name in names:
+            pool = self._pool(name)
+            ahead = pool.demand.per_s(now_ms()) * _PREFETCH_MS / _MS_PER_S
+            low = pool.tokens < ahead / 2
+            quiet = pool.fetching is None and now_ms() >= pool.refuse_until_ms
+            if low and quiet:
+                pool.fetching = asyncio.create_task(
+                    self._fetch_once(name, pool),
+                )
+
     async def _fetch(self, name: str, pool: _Pool) -> bool:
         pool.waiting += 1
         try:
@@ -249,7 +267,7 @@
     async def _ask(self, name: str, pool: _Pool) -> bool:
         asked_ms = now_ms()
         ahead = pool.demand.per_s(asked_ms) * _PREFETCH_MS / _MS_PER_S
-        wanted = max(1, pool.waiting) + int(ahead)
+        wanted = max(1, pool.waiting + int(ahead) - pool.tokens)
         ask = TakeTokens(name, wanted, pool.take_settled())
         grant = await self._ask_nearest(name, ask)
         if grant.tokens < 1:
--- a/packages/coordination/src/chivelead_coordination/_internal/membership.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/membership.py
@@ -10,7 +10,7 @@
 _RECENT_NEWS = 24
 _TIMES_TOLD = 8
 _FORGET_DEAD_MS = 600_000
-_DIGEST_MASK = (1 << 32) - 1
+_DIGEST_MASK = 0xFFFFFFFF
 
 Listener = Callable[[Member], None]
 
@@ -46,6 +46,11 @@
         """Return a hash over all entries that does not depend on order."""
         return self._digest
 
+    @property
+    def has_news(self) -> bool:
+        """Tell whether there are changes that were not told often enough."""
+        return bool(self._news)
+
     def listen(self, listener: Listener) -> None:
         """Call ``listener`` with every entry that changes."""
         self._listeners.append(listener)
@@ -68,7 +73,10 @@
 
     def update_own(self, **changes: object) -> None:
         """Change fields of the own entry; a new version when they differ."""
-        changed = dataclasses.replace(self.own, **changes)  # type: ignore[arg-type]
+        changed = dataclasses.replace(
+            self.own,
+            **changes,  # type: ignore[arg-type]
+        )
         if changed != self.own:
             self._put(
                 dataclasses.replace(changed, version=self.own.version + 1),
--- a/packages/coordination/src/chivelead_coordination/_internal/rates.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/rates.py
@@ -113,8 +113,9 @@
         """Take in the limits of new documents."""
         time_ms = now_ms()
         for name, state in self._states.items():
-            if name in self._buckets:
-                state.ledger.refill(time_ms, self._buckets[name])
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                state.ledger.refill(time_ms, bucket)
         self._buckets = dict(documents.buckets)
         for name in set(self._states) - set(self._buckets):
             self._states.pop(name)
--- a/packages/node/src/chivelead_node/_internal/entry.py
+++ b/packages/node/src/chivelead_node/_internal/entry.py
@@ -340,21 +340,24 @@
             return b''
         if (request.content_length or 0) > self._body_limit:
             raise _too_large(self._body_limit)
-        chunks = []
-        size = 0
         try:
             async with asyncio.timeout(_BODY_TIMEOUT_S):
-                async for chunk in request.content.iter_any():
-                    size += len(chunk)
-                    if size > self._body_limit:
-                        raise _too_large(self._body_limit)
-                    chunks.append(chunk)
+                return await self._read_chunks(request)
         except TimeoutError as error:
             raise calls.refused(
                 _REQUEST_TIMEOUT,
                 'slow-body',
                 'the body did not come in time',
             ) from error
+
+    async def _read_chunks(self, request: web.BaseRequest) -> bytes:
+        chunks = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > self._body_limit:
+                raise _too_large(self._body_limit)
+            chunks.append(chunk)
         return b''.join(chunks)
 
 
--- a/packages/node/src/chivelead_node/_internal/events.py
+++ b/packages/node/src/chivelead_node/_internal/events.py
@@ -82,12 +82,12 @@
 
 def write_events_to_stderr() -> None:
     """Send events and warnings to stderr, one line of pairs each."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        Logfmter(keys=['level'], mapping={'level': 'levelname'})
+    stream = logging.StreamHandler(sys.stderr)
+    stream.setFormatter(
+        Logfmter(keys=['level'], mapping={'level': 'levelname'}),
     )
     root = logging.getLogger()
-    root.addHandler(handler)
+    root.addHandler(stream)
     root.setLevel(logging.INFO)
     for noisy in ('websockets', 'aiohttp'):
         logging.getLogger(noisy).setLevel(logging.WARNING)
--- a/packages/node/src/chivelead_node/_internal/parts.py
+++ b/packages/node/src/chivelead_node/_internal/parts.py
@@ -37,6 +37,7 @@
 _MS_PER_S = 1000
 _TARGET_SILENT_MS = 5000
 _SEED_BITS = 32
+_HEXADECIMAL = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,7 +119,7 @@
             for vm, version in sorted(self.spread.confirmed.items())
         )
         heard_ms = now_ms() - self.spread.platform_heard_ms
-        return (
+        facts = [
             ('config_version', str(self.spread.current.version)),
             ('confirmed', confirmed),
             ('in_flight', str(self.inbound.in_flight)),
@@ -126,7 +127,8 @@
             ('shed_level', f'{pressure.shed_level:.2f}'),
             ('platform_heard_ms', f'{heard_ms:.0f}'),
             ('bytes_sent', str(self.links.bytes_sent)),
-        )
+        ]
+        return tuple(facts)
 
 
 def build_parts(settings: Settings, boot_id: str) -> Parts:
@@ -162,7 +164,7 @@
         shed_late=settings.policy.queue != 'fifo',
     )
     inbound = InboundCalls(target, admission, events, metrics)
-    seed = int(boot_id, 16) % (1 << _SEED_BITS)
+    seed = int(boot_id, _HEXADECIMAL) % (1 << _SEED_BITS)
     outbound = OutboundCalls(
         membership,
         links,
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -197,9 +197,9 @@
 
 
 def _number(raw: dict[str, Any], name: str, high: int) -> int:
-    number = raw.get(name, 0 if name == 'in_flight' else None)
-    if type(number) is not int or not 0 <= number <= high:
+    number = raw.get(name, 0 if name == 'in_flight' else -1)
+    if not isinstance(number, int) or not 0 <= number <= high:
         raise BadAnnouncementError(
             f'{name}: expected a whole number from 0 to {high}',
         )
-    return number
+    return int(number)
--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -63,8 +63,8 @@
         self._events: collections.deque[tuple[float, int, bool]] = (
             collections.deque()
         )
-        self._admitted = [0] * _LEVELS
-        self._refused = [0] * _LEVELS
+        self._admitted = [0 for _ in range(_LEVELS)]
+        self._refused = [0 for _ in range(_LEVELS)]
 
     def note(self, importance: int, refused: bool) -> None:
         self._events.append((now_ms(), importance, refused))
--- a/packages/policy/src/chivelead_policy/_internal/queues.py
+++ b/packages/policy/src/chivelead_policy/_internal/queues.py
@@ -57,7 +57,7 @@
     def ahead_of(self, importance: int) -> int:
         """Return how many waiters go before a newcomer."""
 
-    def charge(self, organisation: str) -> None:
+    def charge(self, organisation: str) -> None:  # noqa: B027
         """Note that a request was admitted without waiting."""
 
 
@@ -86,9 +86,9 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def evict_below(self, importance: int) -> Waiter | None:
+    def evict_below(self, importance: int) -> Waiter | None:  # noqa: WPS324
         """Evict nobody."""
-        return None
+        return None  # noqa: WPS324
 
     def ahead_of(self, importance: int) -> int:
         """Return the length of the queue."""
--- a/packages/policy/src/chivelead_policy/_internal/routing.py
+++ b/packages/policy/src/chivelead_policy/_internal/routing.py
@@ -72,7 +72,7 @@
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         """Return the choice; over all tiers when none has room."""
-        for tier in range(len(_TIER_PENALTY)):
+        for tier, _ in enumerate(_TIER_PENALTY):
             near = [
                 candidate
                 for candidate in candidates
--- a/packages/protocol/src/chivelead_protocol/_internal/codec.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/codec.py
@@ -87,7 +87,7 @@
     if not isinstance(parts, list) or len(parts) < _HEADER_LENGTH:
         raise ProtocolError('decode frame', 'not an array with a header')
     sequence, stamp, code = parts[:_HEADER_LENGTH]
-    if not all(type(part) is int for part in parts[:_HEADER_LENGTH]):
+    if not all(map(_is_integer, parts[:_HEADER_LENGTH])):
         raise ProtocolError('decode frame', 'header is not three integers')
     plan = _plans_by_code.get(code)
     if plan is None:
@@ -177,12 +177,17 @@
 
 
 def _expect(part: Any, kind: type) -> Any:
-    if type(part) is not kind:
+    # A Boolean is no number here, so the type must be the very same.
+    if part.__class__ is not kind:
         raise TypeError(f'{type(part).__name__} in place of {kind.__name__}')
     return part
 
 
+def _is_integer(part: Any) -> bool:
+    return isinstance(part, int) and not isinstance(part, bool)
+
+
 def _expect_number(part: Any) -> float:
-    if type(part) is int or type(part) is float:
+    if _is_integer(part) or isinstance(part, float):
         return float(part)
     raise TypeError(f'{type(part).__name__} in place of a number')
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -42,9 +42,10 @@
 HANDSHAKE_TIMEOUT_MS = 1500
 FRAME_LIMIT_BYTES = 6 * 1024 * 1024
 _NONCE_BYTES = 16
+_CLOSE_TIMEOUT_S = 0.2
 _CHECK_PERIOD_S = 0.4
 
-Handler = Callable[[str, Any], Awaitable[Any]]
+Answer = Callable[[str, Any], Awaitable[Any]]
 _Connection = ClientConnection | ServerConnection
 
 
@@ -107,7 +108,7 @@
                     compression=None,
                     max_size=FRAME_LIMIT_BYTES,
                     ping_interval=None,
-                    close_timeout=0.2,
+                    close_timeout=_CLOSE_TIMEOUT_S,
                     open_timeout=None,
                     proxy=None,
                 )
@@ -238,10 +239,13 @@
                 self._drop('silent')
                 connection.transport.abort()
             elif silent_ms > PING_AFTER_MS:
-                # A send may block on a link that no longer drains.
-                with contextlib.suppress(TimeoutError, WebSocketException):
-                    async with asyncio.timeout(_CHECK_PERIOD_S):
-                        await _put(connection, messages.Ping(), self._clock)
+                await self._ping(connection)
+
+    async def _ping(self, connection: ClientConnection) -> None:
+        # A send may block on a link that no longer drains.
+        with contextlib.suppress(TimeoutError, WebSocketException):
+            async with asyncio.timeout(_CHECK_PERIOD_S):
+                await _put(connection, messages.Ping(), self._clock)
 
     def _drop(self, reason: str) -> None:
         self._connection = None
@@ -259,7 +263,7 @@
         own_vm: Name under which this process introduces itself.
         secret: Secret of the fleet.
         clock: Clock of this process.
-        handler: Called with the peer's name and each message; its result is
+        answer: Called with the peer's name and each message; its result is
             the reply, or None.
     """
 
@@ -268,13 +272,13 @@
         own_vm: str,
         secret: bytes,
         clock: HybridClock,
-        handler: Handler,
+        answer: Answer,
     ) -> None:
         """Prepare a server; ``start`` listens."""
         self._own_vm = own_vm
         self._secret = secret
         self._clock = clock
-        self._handler = handler
+        self._answer_message = answer
         self._server: Server | None = None
         self._running: set[asyncio.Task[None]] = set()
 
@@ -287,7 +291,7 @@
             compression=None,
             max_size=FRAME_LIMIT_BYTES,
             ping_interval=None,
-            close_timeout=0.2,
+            close_timeout=_CLOSE_TIMEOUT_S,
         )
 
     async def close(self) -> None:
@@ -363,7 +367,7 @@
         body: Any,
     ) -> None:
         try:
-            reply = await self._handler(peer, body)
+            reply = await self._answer_message(peer, body)
         except ChiveleadError as error:
             reply = messages.Failure(str(error))
         except Exception as error:
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of ``chivelead-standins``, one a module."""
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/commands/latency.py
@@ -0,0 +1,169 @@
+"""Command ``latency``: time that the nodes add to a call, paired."""
+
+import asyncio
+import configparser
+import statistics
+import sys
+from collections.abc import Sequence
+
+import uvloop
+
+from chivelead_standins._internal.caller import Callers, Stream
+from chivelead_standins._internal.fleet import Fleet
+from chivelead_standins._internal.layout import Layout, plan_layout
+
+_LAYOUT = """
+[failure_domain here]
+region = here
+
+[service front]
+instances = 1
+slots = 75
+connections = 550
+service_ms = 2
+
+[route:front any]
+method = GET
+path = /
+importance = 5
+idempotent = yes
+timeout_ms = 2000
+
+[service back]
+instances = 1
+slots = 75
+connections = 550
+service_ms = 2
+
+[route:back any]
+method = GET
+path = /
+importance = 5
+idempotent = yes
+timeout_ms = 2000
+
+[organisation all]
+rate_per_s = 100000
+burst_requests = 100000
+"""
+_HUNDREDTHS = 100
+
+
+def latency(
+    *,
+    rates_per_s: Sequence[int] = (50, 200),
+    duration_s: float = 10,
+    seed: int = 7,
+) -> None:
+    """Measure the time added by nodes, against calls without them.
+
+    For each rate, calls go straight to the target, through the node of the
+    target, and through another node, all in the same run.
+
+    Args:
+        rates_per_s: Rates of each of the three streams.
+        duration_s: Time at each rate.
+        seed: Seed of the arrival times.
+    """
+    uvloop.run(_measure(rates_per_s, duration_s, seed))
+
+
+async def _measure(
+    rates_per_s: Sequence[int],
+    duration_s: float,
+    seed: int,
+) -> None:
+    parser = configparser.ConfigParser()
+    parser.read_string(_LAYOUT)
+    layout = plan_layout(parser)
+    fleet = Fleet(layout, targets_here=False)
+    targets = []
+    try:
+        for node in layout.nodes:
+            targets.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    '-m',
+                    'chivelead_standins',
+                    'target',
+                    '--service',
+                    node.service,
+                    '--port',
+                    str(node.target_port),
+                    '--local-port',
+                    str(node.local_port),
+                ),
+            )
+        await fleet.start()
+        for rate_per_s in rates_per_s:
+            await _measure_rate(layout, rate_per_s, duration_s, seed)
+    finally:
+        for process in targets:
+            process.kill()
+            await process.wait()
+        await fleet.close()
+
+
+async def _measure_rate(
+    layout: Layout,
+    rate_per_s: int,
+    duration_s: float,
+    seed: int,
+) -> None:
+    front, back = layout.nodes
+    organisation = layout.organisations[0]
+    places = {
+        'direct': f'http://127.0.0.1:{back.target_port}',
+        'one-node': f'http://127.0.0.1:{back.caller_port}',
+        'two-nodes': f'http://127.0.0.1:{front.caller_port}',
+    }
+    streams = [
+        Stream(
+            organisation=name,
+            key=organisation.key,
+            service='back',
+            method='GET',
+            path='/any',
+            importance=5,
+            rate_per_s=rate_per_s,
+            timeout_ms=2000,
+            entries=(entry,),
+        )
+        for name, entry in places.items()
+    ]
+    callers = Callers(seed)
+    await callers.start()
+    await callers.run(streams, 2)
+    callers.records.clear()
+    await callers.run(streams, duration_s)
+    await callers.close()
+    times = {
+        name: sorted(
+            record.ended_ms - record.sent_ms
+            for record in callers.records
+            if record.organisation == name and record.whole
+        )
+        for name in places
+    }
+    _report(rate_per_s, times)
+
+
+def _report(rate_per_s: int, times: dict[str, list[float]]) -> None:
+    base = {
+        'p50': statistics.median(times['direct']),
+        'p99': _percentile(times['direct'], 99),
+    }
+    for name, sample in times.items():
+        p50 = statistics.median(sample)
+        p99 = _percentile(sample, 99)
+        sys.stdout.write(
+            f'rate_per_s={rate_per_s} path={name} calls={len(sample)} '
+            f'p50_ms={p50:.2f} p99_ms={p99:.2f} '
+            f'added_p50_ms={p50 - base["p50"]:.2f} '
+            f'added_p99_ms={p99 - base["p99"]:.2f}\n',
+        )
+
+
+def _percentile(sample: list[float], percent: int) -> float:
+    place = min(len(sample) - 1, len(sample) * percent // _HUNDREDTHS)
+    return sample[place]
--- a/packages/standins/src/chivelead_standins/_internal/fleet.py
+++ b/packages/standins/src/chivelead_standins/_internal/fleet.py
@@ -43,6 +43,7 @@
         layout: What to start.
         extra: Sections to add to the settings of every node.
         seed: Seed of the targets.
+        targets_here: Whether the targets run in this process.
     """
 
     def __init__(
@@ -50,8 +51,11 @@
         layout: Layout,
         extra: _Extra | None = None,
         seed: int = 1,
+        *,
+        targets_here: bool = True,
     ) -> None:
         """Prepare; ``start`` starts everything."""
+        self._targets_here = targets_here
         self.layout = layout
         self.store_server = StoreServer()
         self.targets: dict[str, TargetServer] = {}
@@ -66,14 +70,13 @@
         await put_documents(self.layout)
         for number, node in enumerate(self.layout.nodes):
             await self.start_node(node.vm)
-            self.targets[node.vm] = TargetServer(
-                node.vm,
-                dataclasses.replace(self.layout.profiles[node.service]),
-                node.target_port,
-                node.local_port,
+            self.targets[node.vm] = make_target(
+                self.layout,
+                node,
                 self._seed + number,
             )
-            await self.targets[node.vm].start()
+            if self._targets_here:
+                await self.targets[node.vm].start()
         await self.wait_ready()
 
     async def close(self) -> None:
@@ -138,9 +141,20 @@
             asyncio.timeout(timeout_s),
             aiohttp.ClientSession() as session,
         ):
-            for entry in self.layout.entries():
-                while not await self._is_ready(session, entry):
-                    await asyncio.sleep(_POLL_S)
+            await asyncio.gather(
+                *(
+                    self._wait_entry(session, entry)
+                    for entry in self.layout.entries()
+                ),
+            )
+
+    async def _wait_entry(
+        self,
+        session: aiohttp.ClientSession,
+        entry: str,
+    ) -> None:
+        while not await self._is_ready(session, entry):
+            await asyncio.sleep(_POLL_S)
 
     async def _is_ready(
         self,
@@ -148,20 +162,31 @@
         entry: str,
     ) -> bool:
         """Tell whether an entry finds a target of each service."""
+        plan = self.layout.organisations[0]
+        headers = {'Authorization': f'Bearer {plan.key}'}
         for service in self.layout.profiles:
-            for plan in self.layout.organisations[:1]:
-                try:
-                    async with session.get(
-                        f'{entry}/{service}/ready',
-                        headers={'Authorization': f'Bearer {plan.key}'},
-                    ) as answer:
-                        if answer.status != _OK:
-                            return False
-                except (aiohttp.ClientError, OSError):
-                    return False
+            url = f'{entry}/{service}/ready'
+            try:
+                async with session.get(url, headers=headers) as answer:
+                    status = answer.status
+            except (aiohttp.ClientError, OSError):
+                return False
+            if status != _OK:
+                return False
         return True
 
 
+def make_target(layout: Layout, node: NodePlan, seed: int) -> TargetServer:
+    """Return the target of a node, not yet started."""
+    return TargetServer(
+        node.vm,
+        dataclasses.replace(layout.profiles[node.service]),
+        node.target_port,
+        node.local_port,
+        seed,
+    )
+
+
 async def put_documents(layout: Layout) -> None:
     """Write the first documents of a layout to its store."""
     store = HttpStore(layout.store_url, _STORE_TIMEOUT_MS)
--- a/packages/standins/src/chivelead_standins/_internal/layout.py
+++ b/packages/standins/src/chivelead_standins/_internal/layout.py
@@ -118,8 +118,8 @@
         OrganisationPlan(
             name=name,
             key=f'key-secret-{name}',
-            rate_per_s=section.getfloat('rate_per_s'),
-            burst_requests=section.getint('burst_requests'),
+            rate_per_s=float(section['rate_per_s']),
+            burst_requests=int(section['burst_requests']),
         )
         for name, section in _named(parser, 'organisation')
     )
@@ -129,7 +129,7 @@
     turn = 0
     for service, section in _named(parser, 'service'):
         profiles[service] = _profile(service, section)
-        for number in range(section.getint('instances')):
+        for number in range(int(section['instances'])):
             domain = names[turn % len(names)]
             turn += 1
             nodes.append(
@@ -196,14 +196,14 @@
     service: str,
     section: configparser.SectionProxy,
 ) -> TargetProfile:
-    slots = section.getint('slots')
+    slots = int(section['slots'])
     return TargetProfile(
         service=service,
         slots=slots,
         claimed_slots=section.getint('claimed_slots', slots),
-        connections=section.getint('connections'),
+        connections=int(section['connections']),
         waiting_most=section.getint('waiting_most', slots),
-        service_ms=section.getfloat('service_ms'),
+        service_ms=float(section['service_ms']),
         cold_ms=section.getfloat('cold_ms', 0),
         downstream=tuple(section.get('downstream', '').split()),
         answer_bytes=section.getint('answer_bytes', 1000),
@@ -233,9 +233,9 @@
             ),
         )
     for service, section in _named(parser, 'service'):
+        allowance = section.get('retry_allowance', '3')
         lines = ['[service]', f'name = {service}']
-        if 'retry_allowance' in section:
-            lines.append(f'retry_allowance = {section["retry_allowance"]}')
+        lines.append(f'retry_allowance = {allowance}')
         for title, route in _named(parser, f'route:{service}'):
             lines.append(f'[route {title}]')
             lines.extend(f'{key} = {text}' for key, text in route.items())
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/main.py
@@ -0,0 +1,11 @@
+"""Command line of the stand-ins."""
+
+import defopt
+
+from chivelead_standins._internal.commands.latency import latency
+from chivelead_standins._internal.commands.target import target
+
+
+def main() -> None:
+    """Entry point of ``chivelead-standins``."""
+    defopt.run([latency, target])
--- a/packages/standins/src/chivelead_standins/_internal/store_server.py
+++ b/packages/standins/src/chivelead_standins/_internal/store_server.py
@@ -209,16 +209,15 @@
     async def _sweep_forever(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
-            ended = [
-                lease_id
-                for lease_id, lease in self._leases.items()
-                if lease.ends_ms <= _now_ms()
-            ]
-            for lease_id in ended:
-                self._leases.pop(lease_id)
-                for key, entry in tuple(self._entries.items()):
-                    if entry.lease_id == lease_id:
-                        self._entries.pop(key)
+            for lease_id, lease in tuple(self._leases.items()):
+                if lease.ends_ms <= _now_ms():
+                    self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: int) -> None:
+        self._leases.pop(lease_id)
+        for key, entry in tuple(self._entries.items()):
+            if entry.lease_id == lease_id:
+                self._entries.pop(key)
 
 
 def _now_ms() -> float:
--- a/packages/standins/src/chivelead_standins/_internal/target_server.py
+++ b/packages/standins/src/chivelead_standins/_internal/target_server.py
@@ -43,6 +43,7 @@
         cold_ms: Time after the start during which requests take longer.
         downstream: Calls made for each request, as service and path.
         answer_bytes: Size of an answer.
+        jitter: Largest deviation of a service time, as a part of the mean.
     """
 
     service: str
@@ -56,6 +57,7 @@
     downstream: tuple[str, ...] = ()
     answer_bytes: int = 1000
     lie_in_flight: int = -1
+    jitter: float = 0.5
     fail_all: bool = False
 
 
@@ -199,7 +201,8 @@
 
     def _service_ms(self) -> float:
         profile = self.profile
-        time_ms = self._random.uniform(0.5, 1.5) * profile.service_ms
+        spread = self._random.uniform(1 - profile.jitter, 1 + profile.jitter)
+        time_ms = spread * profile.service_ms
         if now_ms() - self._started_ms < profile.cold_ms:
             time_ms *= 3
         return time_ms * profile.slowdown
