--- /dev/null
+++ b/packages/coordination/tests/unit/test_ledger_machine.py
@@ -0,0 +1,166 @@
+"""State machine: no order of loans, losses and pauses breaks a rate."""
+
+import itertools
+
+import hypothesis.strategies as st
+from chivelead_config import RateBucket
+from chivelead_coordination import TOTAL_UNITS, UnitLedger
+from chivelead_coordination._internal.ledger import GRANT_MS
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    initialize,
+    invariant,
+    rule,
+)
+
+NODES = 3
+BUCKET = RateBucket('mill', rate_per_s=2000, burst_requests=300)
+EPSILON = 1e-6
+FULL_MS = 60_000.0
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Nodes that lend, borrow, grant and spend over a lossy network."""
+
+    replies = Bundle('replies')
+    returns = Bundle('returns')
+    grants = Bundle('grants')
+
+    @initialize()
+    def start(self):
+        """Give each node an equal part."""
+        self.time_ms = 0.0
+        self.ledgers = []
+        for number in range(NODES):
+            ledger = UnitLedger(TOTAL_UNITS, itertools.count(number * 10**6), 0)
+            ledger.set_own_units(TOTAL_UNITS // NODES)
+            ledger.refill(FULL_MS, BUCKET)
+            self.ledgers.append(ledger)
+        self.time_ms = FULL_MS
+        self.bucket_level = float(BUCKET.burst_requests)
+        self.bucket_ms = FULL_MS
+
+    @rule(step_ms=st.sampled_from([1, 7, 40, 180, 260, 900, 2600, 4200]))
+    def advance(self, step_ms):
+        """Let time pass; a node that does nothing is a paused node."""
+        self.time_ms += step_ms
+
+    @rule(node=st.integers(0, NODES - 1))
+    def spend_here(self, node):
+        """Admit calls at the node that holds the tokens, all it has."""
+        tokens = self.ledgers[node].refill(self.time_ms, BUCKET)
+        if tokens > 0:
+            self.ledgers[node].spend(tokens)
+            self._admit(tokens)
+
+    @rule(target=grants, node=st.integers(0, NODES - 1))
+    def grant(self, node):
+        """Grant tokens to a caller's node, whose ask left just now."""
+        ledger = self.ledgers[node]
+        tokens = ledger.refill(self.time_ms, BUCKET)
+        if tokens <= 0:
+            return (node, 0, 0, self.time_ms)
+        grant_id = ledger.grant(self.time_ms, tokens)
+        return (node, grant_id, tokens, self.time_ms)
+
+    @rule(grant=consumes(grants), settles=st.booleans())
+    def spend_grant(self, grant, settles):
+        """Spend a grant while it is valid by its holder's clock."""
+        node, grant_id, tokens, asked_ms = grant
+        if tokens and self.time_ms < asked_ms + GRANT_MS:
+            self._admit(tokens)
+        if settles:
+            self.ledgers[node].settle((grant_id,))
+
+    @rule(
+        target=replies,
+        lender=st.integers(0, NODES - 1),
+        borrower=st.integers(0, NODES - 1),
+        units=st.sampled_from([TOTAL_UNITS, TOTAL_UNITS // 5]),
+        delay_ms=st.sampled_from([0, 5, 600, 5000]),
+    )
+    def ask(self, lender, borrower, units, delay_ms):
+        """Ask for a loan; the ask may be under way for long."""
+        if lender == borrower:
+            return (lender, borrower, self.time_ms, ())
+        asked_ms = self.time_ms
+        self.time_ms += delay_ms
+        ledger = self.ledgers[lender]
+        ledger.refill(self.time_ms, BUCKET)
+        loans = ledger.lend(self.time_ms, units, str(borrower), BUCKET)
+        return (lender, borrower, asked_ms, loans)
+
+    @rule(reply=consumes(replies))
+    def receive(self, reply):
+        """The reply arrives, perhaps late; one never consumed is lost."""
+        lender, borrower, asked_ms, loans = reply
+        ledger = self.ledgers[borrower]
+        ledger.refill(self.time_ms, BUCKET)
+        for loan in loans:
+            ledger.borrow(asked_ms, self.time_ms, str(lender), loan)
+
+    @rule()
+    def spend_everywhere(self):
+        """Admit all that every node allows."""
+        for node in range(NODES):
+            self.spend_here(node)
+
+    @rule(node=st.integers(0, NODES - 1), lost=st.booleans())
+    def renew(self, node, lost):
+        """Renew all loans of a node; the reply may be lost."""
+        ledger = self.ledgers[node]
+        ledger.refill(self.time_ms, BUCKET)
+        for lender in sorted(ledger.lenders()):
+            for loan_id, _ in ledger.borrowed(lender):
+                lease_ms = self.ledgers[int(lender)].renew(
+                    self.time_ms,
+                    str(node),
+                    loan_id,
+                )
+                if not lost:
+                    ledger.extend(self.time_ms, lender, loan_id, lease_ms)
+
+    @rule(target=returns, node=st.integers(0, NODES - 1))
+    def give_back(self, node):
+        """Return the first loan of a node."""
+        ledger = self.ledgers[node]
+        ledger.refill(self.time_ms, BUCKET)
+        for lender in sorted(ledger.lenders()):
+            for loan_id, _ in ledger.borrowed(lender):
+                tokens = ledger.give_back(lender, loan_id, BUCKET)
+                return (int(lender), node, loan_id, tokens)
+        return (0, 0, 0, None)
+
+    @rule(returned=consumes(returns))
+    def take_back(self, returned):
+        """The return arrives."""
+        lender, borrower, loan_id, tokens = returned
+        if tokens is not None:
+            ledger = self.ledgers[lender]
+            ledger.refill(self.time_ms, BUCKET)
+            ledger.take_back(str(borrower), loan_id, tokens)
+
+    @invariant()
+    def stays_inside_the_rate(self):
+        """An ideal bucket of the same rate admits every call as well."""
+        assert self.bucket_level >= -EPSILON
+
+    def _admit(self, tokens):
+        gone_ms = self.time_ms - self.bucket_ms
+        gained = gone_ms * BUCKET.rate_per_s / 1000
+        level = min(BUCKET.burst_requests, self.bucket_level + gained)
+        self.bucket_level = level - tokens
+        self.bucket_ms = self.time_ms
+
+
+TestLedger = LedgerMachine.TestCase
+TestLedger.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/packages/coordination/tests/unit/test_ownership.py
@@ -0,0 +1,100 @@
+"""Shares change hands only when the old owner has surely let go."""
+
+import asyncio
+
+import pytest
+from chivelead_coordination import Membership, ShareOwnership
+from lib.fakes import FakeStore, make_member
+
+pytestmark = pytest.mark.looptime
+
+LEASE_S = 100
+
+
+def make_owner(store, vm, **changes):
+    """Return membership and ownership of one node."""
+    membership = Membership(make_member(vm, **changes))
+    ownership = ShareOwnership(membership, store, LEASE_S)
+    ownership.failure_domains = ('south-1',)
+    return membership, ownership
+
+
+async def test_single_node_claims_all_shares():
+    store = FakeStore()
+    membership, ownership = make_owner(store, 'a')
+    await ownership.start()
+    await asyncio.sleep(10)
+    assert len(ownership.owned) == 64
+    assert membership.own.shares == ownership.owned
+    await ownership.close()
+
+
+async def test_other_node_does_not_take_shares_of_a_silent_owner():
+    store = FakeStore()
+    _, first = make_owner(store, 'a')
+    await first.start()
+    await asyncio.sleep(10)
+    await first.close()
+    _, second = make_owner(store, 'b')
+    await second.start()
+    await asyncio.sleep(LEASE_S / 2)
+    assert not second.owned
+    await second.close()
+
+
+async def test_owner_lets_go_before_the_lease_ends_in_the_store():
+    store = FakeStore()
+    _, first = make_owner(store, 'a')
+    await first.start()
+    await asyncio.sleep(10)
+    store.down = True
+    await asyncio.sleep(LEASE_S * 0.5)
+    assert first.owned
+    await asyncio.sleep(LEASE_S * 0.45)
+    assert not first.owned
+    await first.close()
+
+
+async def test_new_process_in_the_slot_takes_the_shares_over():
+    store = FakeStore()
+    _, first = make_owner(store, 'a')
+    await first.start()
+    await asyncio.sleep(10)
+    await first.close()
+    _, second = make_owner(store, 'a', boot_id='second')
+    await second.start()
+    await asyncio.sleep(10)
+    assert len(second.owned) == 64
+    assert not second.tenure(0).first
+    await second.close()
+
+
+async def test_claim_whose_answer_was_lost_is_not_taken_for_the_first():
+    store = FakeStore()
+    _, ownership = make_owner(store, 'a')
+    await ownership.start()
+    await asyncio.sleep(1.5)
+    store.lose_next = True
+    await asyncio.sleep(10)
+    assert len(ownership.owned) == 64
+    firsts = [ownership.tenure(share).first for share in ownership.owned]
+    assert firsts.count(False) == 1
+    await ownership.close()
+
+
+async def test_released_shares_pass_with_the_name_of_the_handover():
+    store = FakeStore()
+    _, first = make_owner(store, 'a')
+    await first.start()
+    await asyncio.sleep(10)
+
+    async def accept(handover_id, shares):
+        return True
+
+    await first.release(accept)
+    _, second = make_owner(store, 'b')
+    await second.start()
+    await asyncio.sleep(10)
+    assert len(second.owned) == 64
+    assert second.tenure(5).handover_id
+    await second.close()
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the tests."""
--- /dev/null
+++ b/tests/lib/fakes.py
@@ -0,0 +1,158 @@
+"""Fakes at the interfaces of coordination: a store and a network."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from chivelead_coordination import Network, Store, StoredValue
+from chivelead_protocol import (
+    LinkLostError,
+    LinkNotOpenError,
+    Member,
+    StoreConflictError,
+    StoreUnavailableError,
+    now_ms,
+)
+
+
+def make_member(vm, **changes):
+    """Return a live member of one failure domain."""
+    member = Member(
+        vm=vm,
+        boot_id=f'boot-{vm}',
+        incarnation=1,
+        version=1,
+        alive=True,
+        relay=False,
+        host='127.0.0.1',
+        peer_port=1,
+        failure_domain='south-1',
+        region='south',
+        service='stock',
+        target_state='ready',
+        target_slots=10,
+        target_connections=100,
+        shares=(),
+    )
+    return dataclasses.replace(member, **changes)
+
+
+class FakeStore(Store):
+    """The store in memory; ``down`` and ``lose_next`` are its faults."""
+
+    def __init__(self):
+        """Start empty."""
+        self.entries = {}
+        self.leases = {}
+        self.calls = 0
+        self.down = False
+        self.lose_next = False
+        self._numbers = itertools.count(1)
+
+    async def start(self):
+        """Do nothing."""
+
+    async def close(self):
+        """Do nothing."""
+
+    async def read(self, key):
+        """Return a key."""
+        await self._reach()
+        return self.entries.get(key)
+
+    async def read_prefix(self, prefix):
+        """Return the keys with a prefix."""
+        await self._reach()
+        return tuple(
+            entry
+            for key, entry in sorted(self.entries.items())
+            if key.startswith(prefix)
+        )
+
+    async def write(self, write):
+        """Write under the condition."""
+        await self._reach()
+        self._check(write.key, write.expected_revision)
+        revision = next(self._numbers)
+        self.entries[write.key] = StoredValue(write.key, write.text, revision)
+        if write.lease_id:
+            self.leases[write.lease_id][1].add(write.key)
+        if self.lose_next:
+            self.lose_next = False
+            raise StoreUnavailableError('write', 'the answer was lost')
+        return revision
+
+    async def delete(self, key, expected_revision):
+        """Delete under the condition."""
+        await self._reach()
+        self._check(key, expected_revision)
+        self.entries.pop(key)
+
+    async def grant_lease(self, ttl_ms):
+        """Return a lease."""
+        await self._reach()
+        lease_id = next(self._numbers)
+        self.leases[lease_id] = [now_ms() + ttl_ms, set(), ttl_ms]
+        return lease_id
+
+    async def keep_lease(self, lease_id):
+        """Start a lease anew."""
+        await self._reach()
+        if lease_id not in self.leases:
+            raise StoreConflictError('keep lease', 'it has ended')
+        self.leases[lease_id][0] = now_ms() + self.leases[lease_id][2]
+
+    async def watch(self, key, seen_revision, wait_ms):
+        """Poll until the key is newer."""
+        end_ms = now_ms() + wait_ms
+        while now_ms() < end_ms:
+            entry = await self.read(key)
+            if entry is not None and entry.revision > seen_revision:
+                return entry
+            await asyncio.sleep(0.05)
+        return None
+
+    async def _reach(self):
+        self.calls += 1
+        await asyncio.sleep(0.002)
+        if self.down:
+            raise StoreUnavailableError('call', 'down')
+        for lease_id, (ends_ms, keys, _) in tuple(self.leases.items()):
+            if ends_ms <= now_ms():
+                self.leases.pop(lease_id)
+                for key in keys:
+                    self.entries.pop(key, None)
+
+    def _check(self, key, expected_revision):
+        entry = self.entries.get(key)
+        revision = entry.revision if entry else 0
+        if revision != expected_revision:
+            raise StoreConflictError('write', f'revision {revision}')
+
+
+class FakeNetwork(Network):
+    """Call handlers of other nodes directly, with delay, cuts and losses.
+
+    ``handlers`` maps a VM to an async function of (sender, message).
+    """
+
+    def __init__(self, vm, handlers, delay_s=0.001):
+        """Keep the table that all nodes share."""
+        self.vm = vm
+        self.handlers = handlers
+        self.delay_s = delay_s
+        self.cut = set()
+        self.sent = []
+
+    async def request(self, vm, body, timeout_ms):
+        """Deliver a message and return the reply."""
+        self.sent.append((vm, body))
+        await asyncio.sleep(self.delay_s)
+        if vm in self.cut or vm not in self.handlers:
+            raise LinkNotOpenError('request', f'{vm} is cut off')
+        async with asyncio.timeout(timeout_ms / 1000):
+            reply = await self.handlers[vm](self.vm, body)
+        await asyncio.sleep(self.delay_s)
+        if vm in self.cut:
+            raise LinkLostError('request', f'{vm} was cut off')
+        return reply
