Lend units by reported need, with short loans and no idle prefetch

Traces showed six causes: a ledger made at first use started empty; demand counted prefetch; loans lent on were not renewed; a node that had stopped needing units kept them for a second; every call of a small limit fetched a spare token that expired and whose reservation held the burst; the wait after a fruitless round refused calls for up to 0.8 s.

Change: entries report their demand; a node lends what that does not need, and part of the rest while its level is high; loans return to their lender first; loans last 2.5 s and are renewed each 0.5 s; tokens for waiting calls count as spent when granted; nothing is fetched ahead for small demand.

--- a/packages/coordination/src/chivelead_coordination/_internal/ledger.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/ledger.py
@@ -21,10 +21,10 @@
 
 SHARE_UNITS = 16384
 GRANT_MS = 250.0
-LOAN_MS = 4000.0
+LOAN_MS = 2500.0
 CLOCK_MARGIN_MS = 50.0
 _CLOCK_DRIFT = 1.01
-_SHORTEST_LOAN_MS = 500.0
+_SHORTEST_LOAN_MS = 250.0
 _MS_PER_S = 1000
 _OWN = 0
 
@@ -96,6 +96,11 @@
         """Return the units this node may use at the last refill."""
         return sum(part.free for part in self._parts.values())
 
+    @property
+    def lends(self) -> bool:
+        """Tell whether other nodes have units of this one."""
+        return bool(self._lent)
+
     @property
     def reserved(self) -> int:
         """Return the tokens that callers' nodes may still spend."""
@@ -122,12 +127,16 @@
         self._clip(bucket)
         return self.level
 
-    def grant(self, now_ms: float, tokens: int) -> int:
-        """Reserve tokens for a caller's node and return the grant's id."""
+    def grant(self, now_ms: float, tokens: int, waiting: int) -> int:
+        """Grant tokens to a caller's node and return the grant's id.
+
+        Tokens for calls that wait are spent now; the others stay reserved.
+        """
         grant_id = next(self._ids)
         self.level -= tokens
-        ends_ms = lender_end_ms(now_ms, GRANT_MS)
-        self._reserved[grant_id] = _Reserved(tokens, ends_ms)
+        if tokens > waiting:
+            ends_ms = lender_end_ms(now_ms, GRANT_MS)
+            self._reserved[grant_id] = _Reserved(tokens - waiting, ends_ms)
         return grant_id
 
     def settle(self, grant_ids: Iterable[int]) -> None:
@@ -217,10 +226,10 @@
             part = self._parts[key]
             part.ends_ms = max(part.ends_ms, _borrower_end(asked_ms, lease_ms))
 
-    def borrowed(self, lender: str) -> list[tuple[int, int]]:
-        """Return id and units of the loans from one lender."""
+    def borrowed(self, lender: str) -> list[tuple[int, int, bool]]:
+        """Return id, units and whether lent on, of loans from a lender."""
         return [
-            (loan_id, self._parts[key].units)
+            (loan_id, self._parts[key].units, self._parts[key].lent > 0)
             for (name, loan_id), key in self._borrowed_from.items()
             if name == lender
         ]
--- a/packages/coordination/src/chivelead_coordination/_internal/limiters.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/limiters.py
@@ -21,7 +21,8 @@
 
 _TAKE_TIMEOUT_MS = 300.0
 _PREFETCH_MS = 100.0
-_REFUSE_MS = 20.0
+_REFUSE_MS = 5.0
+_AHEAD_LEAST = 2.0
 _ROUNDS = 3
 _MS_PER_S = 1000
 
@@ -238,7 +239,7 @@
         for name in names:
             pool = self._pool(name)
             ahead = pool.demand.per_s(now_ms()) * _PREFETCH_MS / _MS_PER_S
-            low = pool.tokens < ahead / 2
+            low = ahead >= _AHEAD_LEAST and pool.tokens < ahead / 2
             quiet = pool.fetching is None and now_ms() >= pool.refuse_until_ms
             if low and quiet:
                 pool.fetching = asyncio.create_task(
@@ -266,9 +267,16 @@
 
     async def _ask(self, name: str, pool: _Pool) -> bool:
         asked_ms = now_ms()
-        ahead = pool.demand.per_s(asked_ms) * _PREFETCH_MS / _MS_PER_S
+        per_s = pool.demand.per_s(asked_ms)
+        ahead = per_s * _PREFETCH_MS / _MS_PER_S
         wanted = max(1, pool.waiting + int(ahead) - pool.tokens)
-        ask = TakeTokens(name, wanted, pool.take_settled())
+        ask = TakeTokens(
+            bucket=name,
+            wanted=wanted,
+            waiting=min(wanted, pool.waiting),
+            demand_per_s=per_s,
+            settled=pool.take_settled(),
+        )
         grant = await self._ask_nearest(name, ask)
         if grant.tokens < 1:
             pool.retry_after_ms = grant.retry_after_ms
--- a/packages/coordination/src/chivelead_coordination/_internal/rates.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/rates.py
@@ -26,7 +26,7 @@
     now_ms,
 )
 
-from chivelead_coordination._internal.demand import DemandMeter
+from chivelead_coordination._internal.demand import DemandReports
 from chivelead_coordination._internal.ledger import (
     GRANT_MS,
     LOAN_MS,
@@ -46,11 +46,15 @@
 
 TOTAL_UNITS = SHARE_COUNT * SHARE_UNITS
 
-_PERIOD_S = 0.65
-_RENEW_EVERY_MS = 1300.0
+_ASK_LEAST = TOTAL_UNITS // 8
+_PERIOD_S = 0.25
+_RENEW_EVERY_MS = 500.0
 _BORROW_TIMEOUT_MS = 120.0
 _GATHER_PAUSE_MS = 50.0
-_GATHER_PAUSE_MOST_MS = 800.0
+_GATHER_PAUSE_MOST_MS = 200.0
+_ACCRUAL_WAIT_MS = 40.0
+_KEPT_MS = 100.0
+_KEPT_LEAST = 1.5
 _NEED_MARGIN = 1.25
 _SPARE_MARGIN = 2.0
 _IDLE_MS = 4000.0
@@ -64,7 +68,7 @@
     """What this node keeps for one limit."""
 
     ledger: UnitLedger
-    demand: DemandMeter
+    demand: DemandReports
     asked_ms: float
     gathering: asyncio.Task[None] | None = None
     pause_ms: float = 0.0
@@ -94,6 +98,8 @@
         self._states: dict[str, _BucketState] = {}
         self._ids = itertools.count(secrets.randbits(_ID_BITS))
         self._own_units = 0
+        self._units_since_ms = 0.0
+        self._known_since_ms: dict[str, float] = {}
         self._renewed_ms: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         self._running: set[asyncio.Task[None]] = set()
@@ -117,6 +123,10 @@
             if bucket is not None:
                 state.ledger.refill(time_ms, bucket)
         self._buckets = dict(documents.buckets)
+        self._known_since_ms = {
+            name: self._known_since_ms.get(name, time_ms)
+            for name in self._buckets
+        }
         for name in set(self._states) - set(self._buckets):
             self._states.pop(name)
 
@@ -138,22 +148,24 @@
         state.ledger.settle(ask.settled)
         time_ms = now_ms()
         state.asked_ms = time_ms
-        state.demand.note(time_ms, ask.wanted)
+        state.demand.note(time_ms, vm, ask.demand_per_s)
         if state.ledger.refill(time_ms, bucket) < max(1, ask.wanted):
             await self._gather(bucket, state, ask.wanted)
+        await self._wait_for_token(bucket, state)
         time_ms = now_ms()
         level = state.ledger.refill(time_ms, bucket)
         tokens = min(ask.wanted, int(level))
         if tokens < 1:
             per_ms = max(bucket.rate_per_s, 1) / _MS_PER_S
             return TokenGrant(0, 0, 0, (1 - level) / per_ms)
-        grant_id = state.ledger.grant(time_ms, tokens)
+        grant_id = state.ledger.grant(time_ms, tokens, ask.waiting)
         return TokenGrant(grant_id, tokens, GRANT_MS, 0)
 
     async def answer_borrow(self, vm: str, ask: BorrowUnits) -> UnitsLent:
         """Lend what this node does not need itself."""
         renewed = self._renew_for(vm, ask.renew)
         loans: list[Loan] = []
+        returned: dict[int, float] = {}
         for need in ask.needs:
             bucket = self._buckets.get(need.bucket)
             if bucket is None:
@@ -164,32 +176,75 @@
             time_ms = now_ms()
             state.ledger.refill(time_ms, bucket)
             units = min(need.units, self._spare(bucket, state))
+            units -= self._return_to(vm, bucket, state, units, returned)
             loans.extend(state.ledger.lend(time_ms, units, vm, bucket))
         return UnitsLent(
             loans=tuple(loans),
             renewed=tuple(renewed),
             renewed_lease_ms=tuple(renewed.values()),
+            returned=tuple(returned),
+            returned_tokens=tuple(returned.values()),
         )
 
     def answer_return(self, vm: str, returned: ReturnUnits) -> None:
         """Take units back."""
+        self._take_back(vm, returned.loan_ids, returned.tokens)
+
+    def _take_back(
+        self,
+        vm: str,
+        loan_ids: tuple[int, ...],
+        tokens: tuple[float, ...],
+    ) -> None:
         time_ms = now_ms()
         for name, state in self._states.items():
             state.ledger.refill(time_ms, self._buckets[name])
-            for loan_id, tokens in zip(
-                returned.loan_ids,
-                returned.tokens,
-                strict=True,
-            ):
-                state.ledger.take_back(vm, loan_id, tokens)
+            for loan_id, returned in zip(loan_ids, tokens, strict=True):
+                state.ledger.take_back(vm, loan_id, returned)
+
+    def _return_to(
+        self,
+        vm: str,
+        bucket: RateBucket,
+        state: _BucketState,
+        units: int,
+        returned: dict[int, float],
+    ) -> int:
+        """Give the asker its own loans back before lending it others."""
+        given = 0
+        for loan_id, size, is_lent_on in state.ledger.borrowed(vm):
+            if is_lent_on or given + size > units:
+                continue
+            tokens = state.ledger.give_back(vm, loan_id, bucket)
+            if tokens is not None:
+                returned[loan_id] = tokens
+                given += size
+        return given
+
+    async def _wait_for_token(
+        self,
+        bucket: RateBucket,
+        state: _BucketState,
+    ) -> None:
+        """Wait if the next token accrues soon."""
+        level = state.ledger.refill(now_ms(), bucket)
+        per_ms = (
+            bucket.rate_per_s * state.ledger.units / TOTAL_UNITS / _MS_PER_S
+        )
+        if level >= 1 or per_ms <= 0:
+            return
+        wait_ms = (1 - level) / per_ms
+        if wait_ms <= _ACCRUAL_WAIT_MS:
+            await asyncio.sleep(wait_ms / _MS_PER_S)
 
     def _state(self, name: str) -> _BucketState:
         state = self._states.get(name)
         if state is None:
-            time_ms = now_ms()
-            ledger = UnitLedger(TOTAL_UNITS, self._ids, time_ms)
+            # Nothing was spent from the own units since they came.
+            since_ms = max(self._units_since_ms, self._known_since_ms[name])
+            ledger = UnitLedger(TOTAL_UNITS, self._ids, since_ms)
             ledger.set_own_units(self._own_units)
-            state = _BucketState(ledger, DemandMeter(time_ms), time_ms)
+            state = _BucketState(ledger, DemandReports(), now_ms())
             self._states[name] = state
         return state
 
@@ -208,6 +263,7 @@
         if units == self._own_units:
             return
         self._own_units = units
+        self._units_since_ms = time_ms
         for name, state in self._states.items():
             state.ledger.refill(time_ms, self._buckets[name])
             state.ledger.set_own_units(units)
@@ -221,7 +277,19 @@
         return min(TOTAL_UNITS, int(share * TOTAL_UNITS) + 1)
 
     def _spare(self, bucket: RateBucket, state: _BucketState) -> int:
-        return max(0, state.ledger.units - self._needed(bucket, state))
+        """Return the units that others may have.
+
+        These are the units that the demand does not need, or, if the level
+        lasts for a while without them, a part of the others too.
+        """
+        ledger = state.ledger
+        idle = ledger.units - self._needed(bucket, state)
+        per_s = state.demand.per_s(now_ms())
+        kept = per_s * _KEPT_MS / _MS_PER_S + (_KEPT_LEAST if per_s else 0)
+        beyond = 0.0
+        if ledger.level > kept:
+            beyond = ledger.units * (1 - kept / ledger.level)
+        return max(0, idle, int(beyond))
 
     async def _gather(
         self,
@@ -296,7 +364,7 @@
         short = wanted - state.ledger.level
         burst_units = int(short / bucket.burst_requests * TOTAL_UNITS) + 1
         rate_units = self._needed(bucket, state) - state.ledger.units
-        units = min(TOTAL_UNITS, max(burst_units, rate_units))
+        units = min(TOTAL_UNITS, max(_ASK_LEAST, burst_units, rate_units))
         lenders = [
             self.meeting_nodes(bucket.name, domain)[:1]
             for domain in self._ownership.failure_domains
@@ -328,6 +396,7 @@
 
     def _take_in(self, vm: str, asked_ms: float, reply: UnitsLent) -> None:
         time_ms = now_ms()
+        self._take_back(vm, reply.returned, reply.returned_tokens)
         for loan in reply.loans:
             bucket = self._buckets.get(loan.bucket)
             if bucket is not None:
@@ -411,7 +480,7 @@
         """Keep loans of this failure domain, others only by need."""
         ledger = state.ledger
         ledger.refill(now_ms(), bucket)
-        active = now_ms() - state.asked_ms < _IDLE_MS
+        active = now_ms() - state.asked_ms < _IDLE_MS or ledger.lends
         near = set(
             self.meeting_nodes(
                 bucket.name,
@@ -420,9 +489,9 @@
         )
         spare = ledger.units - _SPARE_MARGIN * self._needed(bucket, state)
         for vm in ledger.lenders():
-            for loan_id, units in ledger.borrowed(vm):
+            for loan_id, units, is_lent_on in ledger.borrowed(vm):
                 keep = active if vm in near else spare < units
-                if keep:
+                if keep or is_lent_on:
                     wanted[vm].append(loan_id)
                 else:
                     spare -= units
--- a/packages/coordination/tests/unit/test_ledger.py
+++ b/packages/coordination/tests/unit/test_ledger.py
@@ -24,19 +24,19 @@
 
 
 def test_units_behind_a_grant_are_not_lent(ledger):
-    ledger.grant(10_000, 50)
+    ledger.grant(10_000, 50, 0)
     assert not ledger.lend(10_001, TOTAL_UNITS, 'other', BUCKET)
 
 
 def test_units_are_lent_once_the_grant_is_settled(ledger):
-    grant_id = ledger.grant(10_000, 50)
+    grant_id = ledger.grant(10_000, 50, 0)
     ledger.settle((grant_id,))
     (loan,) = ledger.lend(10_001, TOTAL_UNITS, 'other', BUCKET)
     assert loan.units == TOTAL_UNITS
 
 
 def test_burst_is_held_by_a_grant_until_it_ends(ledger):
-    ledger.grant(10_000, 50)
+    ledger.grant(10_000, 50, 0)
     assert ledger.refill(10_000 + GRANT_MS, BUCKET) == pytest.approx(0)
     assert ledger.refill(12_000, BUCKET) == pytest.approx(50)
 
@@ -71,5 +71,5 @@
     (loan,) = ledger.lend(10_000, TOTAL_UNITS, 'middle', BUCKET)
     middle = UnitLedger(TOTAL_UNITS, itertools.count(1), 10_000)
     middle.borrow(10_000, 10_000, 'ledger', loan)
-    (sub_loan,) = middle.lend(12_000, TOTAL_UNITS, 'far', BUCKET)
-    assert 12_000 + sub_loan.lease_ms < 10_000 + LOAN_MS
+    (sub_loan,) = middle.lend(10_500, TOTAL_UNITS, 'far', BUCKET)
+    assert 10_500 + sub_loan.lease_ms < 10_000 + LOAN_MS
--- a/packages/coordination/tests/unit/test_ledger_machine.py
+++ b/packages/coordination/tests/unit/test_ledger_machine.py
@@ -63,7 +63,7 @@
         tokens = ledger.refill(self.time_ms, BUCKET)
         if tokens <= 0:
             return (node, 0, 0, self.time_ms)
-        grant_id = ledger.grant(self.time_ms, tokens)
+        grant_id = ledger.grant(self.time_ms, tokens, 0)
         return (node, grant_id, tokens, self.time_ms)
 
     @rule(grant=consumes(grants), settles=st.booleans())
@@ -114,7 +114,7 @@
         ledger = self.ledgers[node]
         ledger.refill(self.time_ms, BUCKET)
         for lender in sorted(ledger.lenders()):
-            for loan_id, _ in ledger.borrowed(lender):
+            for loan_id, _, _ in ledger.borrowed(lender):
                 lease_ms = self.ledgers[int(lender)].renew(
                     self.time_ms,
                     str(node),
@@ -129,7 +129,7 @@
         ledger = self.ledgers[node]
         ledger.refill(self.time_ms, BUCKET)
         for lender in sorted(ledger.lenders()):
-            for loan_id, _ in ledger.borrowed(lender):
+            for loan_id, _, _ in ledger.borrowed(lender):
                 tokens = ledger.give_back(lender, loan_id, BUCKET)
                 return (int(lender), node, loan_id, tokens)
         return (0, 0, 0, None)
--- a/packages/protocol/src/chivelead_protocol/_internal/messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/messages.py
@@ -263,11 +263,16 @@
     Attributes:
         bucket: Name of the rate limit.
         wanted: Tokens asked for.
+        waiting: Calls among them that wait for the answer; their tokens
+            count as spent when they are granted.
+        demand_per_s: Calls a second that enter at the asker.
         settled: Grants whose tokens are all spent or dropped.
     """
 
     bucket: str
     wanted: int
+    waiting: int
+    demand_per_s: float
     settled: tuple[int, ...]
 
 
@@ -344,9 +349,11 @@
 @message(43)
 @dataclasses.dataclass(frozen=True)
 class UnitsLent:
-    """New and renewed loans.
+    """New and renewed loans, and loans of the asker that come back.
 
     Attributes:
+        returned: Loans that the replier had from the asker.
+        returned_tokens: For each of them the tokens that go along.
         renewed: Loans whose lease starts anew.
         renewed_lease_ms: For each renewed loan its lease from the request.
     """
@@ -354,6 +361,8 @@
     loans: tuple[Loan, ...]
     renewed: tuple[int, ...]
     renewed_lease_ms: tuple[float, ...]
+    returned: tuple[int, ...]
+    returned_tokens: tuple[float, ...]
 
 
 @message(44)
