Operators' command, proofs on separate processes, and the demo

Cause: operators had no way to edit a document, and no promise was shown on real processes.

Change: `chivelead` with apply, check, diff, drain, history, key, show, status and timeline; an edit is one compare-and-swap of the manifest, with its id read back after a lost answer. `chivelead-standins prove` runs seven scenarios of kills, freezes, outages, silent watches and races on node processes and checks the histories; `demo` runs the Association's layout.

--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of ``chivelead``, one a module."""
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/commands/apply.py
@@ -0,0 +1,85 @@
+"""Command ``apply``."""
+
+import asyncio
+import getpass
+import pathlib
+
+from chivelead_coordination import Store
+from chivelead_protocol import now_ms
+
+from chivelead_cli._internal import context
+from chivelead_cli._internal.operations.edits import AcceptedEdit, apply_edit
+from chivelead_cli._internal.operations.files import read_files
+from chivelead_cli._internal.operations.fleet_view import (
+    first_addresses,
+    view_fleet,
+)
+
+_POLL_S = 0.3
+_MS_PER_S = 1000
+
+
+def apply(
+    *files: pathlib.Path,
+    store: str = '',
+    secret: str = '',
+    note: str = '',
+    wait_s: float = 9,
+) -> None:
+    """Check documents with the whole set and put them in force.
+
+    Reports in which failure domains the edit is in force; those that do not
+    confirm in time are named, and the exit status is 5.
+
+    Example: ``chivelead apply stock.ini --note 'more for mill-1'``
+
+    Args:
+        files: INI files, one document each.
+        store: URL of the store; else CHIVELEAD_STORE.
+        secret: Secret of the fleet; else CHIVELEAD_SECRET.
+        note: Why, for the history.
+        wait_s: How long to wait for the nodes to confirm.
+    """
+
+    async def work() -> context.ExitStatus:
+        changes = read_files(files)
+        async with context.open_store(store) as opened:
+            edit = await apply_edit(opened, changes, getpass.getuser(), note)
+            context.say(f'edit={edit.edit_id} version={edit.version} accepted')
+            return await confirm(opened, edit, secret, wait_s)
+
+    context.run(work)
+
+
+async def confirm(
+    store: Store,
+    edit: AcceptedEdit,
+    secret: str,
+    wait_s: float,
+) -> context.ExitStatus:
+    """Wait until every node has the edit, and report by failure domain."""
+    fleet_secret = context.fleet_secret(secret)
+    addresses = await first_addresses(store, ())
+    limit_ms = now_ms() + wait_s * _MS_PER_S
+    while True:
+        view = await view_fleet(addresses, fleet_secret)
+        behind = [
+            domain
+            for domain, versions in view.versions().items()
+            if min(versions) < edit.version
+        ]
+        is_whole = bool(view.reports) and not behind and not view.silent
+        if is_whole or now_ms() > limit_ms:
+            break
+        await asyncio.sleep(_POLL_S)
+    for domain, versions in sorted(view.versions().items()):
+        confirmed = sum(version >= edit.version for version in versions)
+        context.say(
+            f'failure_domain={domain} confirmed={confirmed} '
+            f'nodes={len(versions)}',
+        )
+    for vm in view.silent:
+        context.say(f'vm={vm} not-reached')
+    if is_whole:
+        return context.ExitStatus.done
+    return context.ExitStatus.not_confirmed
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/commands/check.py
@@ -0,0 +1,30 @@
+"""Command ``check``."""
+
+import pathlib
+import sys
+
+from chivelead_config import check_documents
+from chivelead_protocol import ConfigurationError
+
+from chivelead_cli._internal.context import ExitStatus, say
+from chivelead_cli._internal.operations.files import read_files
+
+
+def check(*files: pathlib.Path) -> None:
+    """Check documents as a whole set and print every problem.
+
+    Example: ``chivelead check examples/association/*.ini``
+
+    Args:
+        files: INI files, one document each.
+    """
+    try:
+        problems = check_documents(read_files(files))
+    except ConfigurationError as error:
+        say(str(error))
+        sys.exit(ExitStatus.not_valid)
+    for problem in problems:
+        say(str(problem))
+    if problems:
+        sys.exit(ExitStatus.not_valid)
+    say(f'{len(files)} documents are valid')
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/commands/documents.py
@@ -0,0 +1,87 @@
+"""Commands ``show``, ``diff`` and ``history``."""
+
+import difflib
+import pathlib
+
+from chivelead_cli._internal import context
+from chivelead_cli._internal.operations.edits import read_documents
+from chivelead_cli._internal.operations.files import read_files
+
+
+def show(*names: str, store: str = '') -> None:
+    """Print documents in force, or their names when none is given.
+
+    Args:
+        names: Such as service/stock, organisation/mill-1 or fleet.
+        store: URL of the store; else CHIVELEAD_STORE.
+    """
+
+    async def work() -> context.ExitStatus:
+        async with context.open_store(store) as opened:
+            documents = await read_documents(opened)
+        context.say(f'# version {documents.manifest.version}')
+        for name in names or sorted(documents.texts):
+            if name not in documents.texts:
+                context.say(f'# no document {name}')
+                return context.ExitStatus.not_valid
+            context.say(documents.texts[name] if names else name)
+        return context.ExitStatus.done
+
+    context.run(work)
+
+
+def diff(*files: pathlib.Path, store: str = '') -> None:
+    """Print how files differ from the documents in force.
+
+    Args:
+        files: INI files, one document each.
+        store: URL of the store; else CHIVELEAD_STORE.
+    """
+
+    async def work() -> context.ExitStatus:
+        texts = read_files(files)
+        async with context.open_store(store) as opened:
+            documents = await read_documents(opened)
+        for name, text in texts.items():
+            lines = difflib.unified_diff(
+                documents.texts.get(name, '').splitlines(),
+                text.splitlines(),
+                f'{name} in force',
+                f'{name} in file',
+                lineterm='',
+            )
+            for line in lines:
+                context.say(line)
+        return context.ExitStatus.done
+
+    context.run(work)
+
+
+def history(*, store: str = '', as_json: bool = False) -> None:
+    """Print the accepted edits, oldest first.
+
+    Args:
+        store: URL of the store; else CHIVELEAD_STORE.
+        as_json: Print JSON for scripts.
+    """
+
+    async def work() -> context.ExitStatus:
+        async with context.open_store(store) as opened:
+            documents = await read_documents(opened)
+        for edit in documents.manifest.history:
+            names = ','.join(name for name, _ in edit.replaced)
+            fields = {
+                'version': edit.version,
+                'edit': edit.edit_id,
+                'author': edit.author,
+                'documents': names,
+                'note': edit.note,
+            }
+            if as_json:
+                context.say_json(fields)
+            else:
+                pairs = (f'{key}={text}' for key, text in fields.items())
+                context.say(' '.join(pairs))
+        return context.ExitStatus.done
+
+    context.run(work)
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/commands/status.py
@@ -0,0 +1,103 @@
+"""Commands ``status`` and ``drain``."""
+
+from chivelead_protocol import DrainRequest
+
+from chivelead_cli._internal import context
+from chivelead_cli._internal.operations.fleet_view import (
+    ask_all,
+    first_addresses,
+    view_fleet,
+)
+
+
+def status(
+    *peers: str,
+    store: str = '',
+    secret: str = '',
+    as_json: bool = False,
+) -> None:
+    """Print every node with its target, shares, load and documents.
+
+    Args:
+        peers: Nodes to ask first, as host:port; found in the store if none.
+        store: URL of the store; else CHIVELEAD_STORE.
+        secret: Secret of the fleet; else CHIVELEAD_SECRET.
+        as_json: Print JSON for scripts.
+    """
+
+    async def work() -> context.ExitStatus:
+        addresses = await _addresses(store, peers)
+        view = await view_fleet(addresses, context.fleet_secret(secret))
+        for report in sorted(view.reports, key=lambda report: report.vm):
+            own = next(
+                member for member in report.members if member.vm == report.vm
+            )
+            fields = {
+                'vm': report.vm,
+                'failure_domain': own.failure_domain,
+                'service': own.service,
+                'target': own.target_state,
+                'slots': own.target_slots,
+                'shares': len(own.shares),
+                'relay': own.relay,
+                **dict(report.facts),
+            }
+            fields.pop('confirmed')
+            if as_json:
+                context.say_json(fields)
+            else:
+                pairs = (f'{key}={fact}' for key, fact in fields.items())
+                context.say(' '.join(pairs))
+        for vm in view.silent:
+            context.say(f'vm={vm} not-reached')
+        if view.silent or not view.reports:
+            return context.ExitStatus.not_confirmed
+        return context.ExitStatus.done
+
+    context.run(work)
+
+
+def drain(
+    vm: str,
+    *,
+    store: str = '',
+    secret: str = '',
+    resume: bool = False,
+) -> None:
+    """Give a target no new work, or resume.
+
+    Args:
+        vm: VM of the target.
+        store: URL of the store; else CHIVELEAD_STORE.
+        secret: Secret of the fleet; else CHIVELEAD_SECRET.
+        resume: Give it work again.
+    """
+
+    async def work() -> context.ExitStatus:
+        fleet_secret = context.fleet_secret(secret)
+        view = await view_fleet(await _addresses(store, ()), fleet_secret)
+        members = {
+            member.vm: member
+            for report in view.reports
+            for member in report.members
+        }
+        if vm not in members:
+            context.say(f'vm={vm} is not known to any node that answers')
+            return context.ExitStatus.not_valid
+        question = DrainRequest(draining=not resume)
+        answers = await ask_all([members[vm]], fleet_secret, question)
+        if answers[0] is None:
+            context.say(f'vm={vm} not-reached')
+            return context.ExitStatus.not_confirmed
+        context.say(f'vm={vm} draining={not resume}')
+        return context.ExitStatus.done
+
+    context.run(work)
+
+
+async def _addresses(
+    store: str,
+    peers: tuple[str, ...],
+) -> list[tuple[str, int]]:
+    async with context.open_store(store or 'http://127.0.0.1:1') as opened:
+        return await first_addresses(opened, peers)
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/commands/timeline.py
@@ -0,0 +1,107 @@
+"""Command ``timeline``."""
+
+import html
+import pathlib
+
+from chivelead_protocol import TimelineEvent, format_stamp, stamp_ms
+
+from chivelead_cli._internal import context
+from chivelead_cli._internal.operations.fleet_view import (
+    first_addresses,
+    gather_timeline,
+)
+
+_MOST = 2000
+_LANE_PX = 190
+_ROW_PX = 18
+
+
+def timeline(
+    *peers: str,
+    store: str = '',
+    secret: str = '',
+    request: str = '',
+    most: int = _MOST,
+    page: pathlib.Path | None = None,
+) -> None:
+    """Print the recent events of all nodes in the order of their stamps.
+
+    Args:
+        peers: Nodes to ask first, as host:port; found in the store if none.
+        store: URL of the store; else CHIVELEAD_STORE.
+        secret: Secret of the fleet; else CHIVELEAD_SECRET.
+        request: Only events of this request id.
+        most: Events from each node at the most.
+        page: Write one HTML page with a lane for each node.
+    """
+
+    async def work() -> context.ExitStatus:
+        async with context.open_store(store or 'http://127.0.0.1:1') as opened:
+            addresses = await first_addresses(opened, peers)
+        events = await gather_timeline(
+            addresses,
+            context.fleet_secret(secret),
+            request,
+            most,
+        )
+        if page is not None:
+            page.write_text(render_page(events), encoding='utf-8')
+            context.say(f'events={len(events)} page={page}')
+            return context.ExitStatus.done
+        for event in events:
+            context.say(render_line(event))
+        return context.ExitStatus.done
+
+    context.run(work)
+
+
+def render_line(event: TimelineEvent) -> str:
+    """Return one event as a line of pairs."""
+    pairs = ' '.join(f'{name}={text}' for name, text in event.fields)
+    stamp = format_stamp(event.stamp)
+    return f'stamp={stamp} vm={event.vm} event={event.event} {pairs}'
+
+
+def render_page(events: list[TimelineEvent]) -> str:
+    """Return an HTML page with lanes by node and a filter by request."""
+    lanes = sorted({event.vm for event in events})
+    first_ms = stamp_ms(events[0].stamp) if events else 0
+    rows = [
+        _render_row(event, row, lanes.index(event.vm), first_ms)
+        for row, event in enumerate(events)
+    ]
+    heads = ''.join(
+        f'<b style="left:{place * _LANE_PX}px">{html.escape(vm)}</b>'
+        for place, vm in enumerate(lanes)
+    )
+    return _PAGE.format(heads=heads, rows=''.join(rows))
+
+
+def _render_row(
+    event: TimelineEvent,
+    row: int,
+    lane: int,
+    first_ms: int,
+) -> str:
+    offset_ms = stamp_ms(event.stamp) - first_ms
+    title = html.escape(render_line(event), quote=True)
+    request = html.escape(dict(event.fields).get('request_id', ''), quote=True)
+    return (
+        f'<div class="e" data-r="{request}" title="{title}" '
+        f'style="left:{lane * _LANE_PX}px;top:{row * _ROW_PX}px">'
+        f'+{offset_ms} ms {html.escape(event.event)}</div>'
+    )
+
+
+_PAGE = """<!doctype html><meta charset="utf-8">
+<title>chivelead time line</title>
+<style>
+body{{font:12px monospace}}
+#h{{position:sticky;top:0;height:20px;background:#fff}}
+#h b,.e{{position:absolute;white-space:nowrap}}
+#b{{position:relative}}
+</style>
+<p>request id <input oninput="for(const e of document.querySelectorAll('.e'))
+e.hidden=this.value!==''&&!e.dataset.r.startsWith(this.value)"></p>
+<div id="h">{heads}</div><div id="b">{rows}</div>
+"""
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Plain functions behind the commands."""
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/operations/edits.py
@@ -0,0 +1,166 @@
+"""Edits of documents: check as a set, write, and read back."""
+
+import dataclasses
+import secrets
+from collections.abc import Mapping
+
+from chivelead_config import check_documents
+from chivelead_coordination import (
+    EMPTY_MANIFEST,
+    MANIFEST_KEY,
+    Manifest,
+    Store,
+    Write,
+    dump_manifest,
+    parse_manifest,
+    text_key,
+)
+from chivelead_protocol import (
+    ConfigurationError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+
+_EDIT_ID_BYTES = 8
+_READ_BACK_TRIES = 5
+
+
+class EditRaceError(StoreConflictError):
+    """Another operator's edit was accepted first."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Documents:
+    """The documents in the store at one moment.
+
+    Attributes:
+        revision: Revision of the manifest's key, for compare-and-swap.
+    """
+
+    manifest: Manifest
+    revision: int
+    texts: Mapping[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class AcceptedEdit:
+    """An edit that is in the store."""
+
+    edit_id: str
+    version: int
+
+
+async def read_documents(store: Store) -> Documents:
+    """Return all documents in force in the store.
+
+    Raises:
+        StoreUnavailableError: The store did not answer.
+    """
+    entry = await store.read(MANIFEST_KEY)
+    if entry is None:
+        return Documents(EMPTY_MANIFEST, 0, {})
+    manifest = parse_manifest(entry.text)
+    texts = {}
+    for name, edit_id in manifest.edit_ids.items():
+        texts[name] = await read_text(store, name, edit_id)
+    return Documents(manifest, entry.revision, texts)
+
+
+async def read_text(store: Store, name: str, edit_id: str) -> str:
+    """Return the text that an edit gave a document.
+
+    Raises:
+        ConfigurationError: The store has no such text.
+    """
+    entry = await store.read(text_key(name, edit_id))
+    if entry is None:
+        raise ConfigurationError(
+            f'read {name}',
+            f'the text of edit {edit_id} is not in the store',
+        )
+    return entry.text
+
+
+async def apply_edit(
+    store: Store,
+    changes: Mapping[str, str],
+    author: str,
+    note: str,
+    base: Documents | None = None,
+) -> AcceptedEdit:
+    """Check the whole set with the changes, then put it in force.
+
+    Args:
+        store: Store of the platform.
+        changes: New texts by document name.
+        author: Who edits.
+        note: Why.
+        base: What the edit was made against; read now when left out.
+
+    Raises:
+        ConfigurationError: The set would not be valid.
+        EditRaceError: Another edit was accepted first.
+        StoreUnavailableError: The store did not answer; the edit may or may
+            not be in force.
+    """
+    documents = base or await read_documents(store)
+    problems = check_documents({**documents.texts, **changes})
+    if problems:
+        raise ConfigurationError(
+            'check documents',
+            '; '.join(str(problem) for problem in problems),
+            'nothing was written',
+        )
+    edit_id = secrets.token_hex(_EDIT_ID_BYTES)
+    for name, text in changes.items():
+        await _write_text(store, name, edit_id, text)
+    manifest = documents.manifest.with_edit(
+        edit_id,
+        tuple(changes),
+        author,
+        note,
+    )
+    write = Write(MANIFEST_KEY, dump_manifest(manifest), documents.revision)
+    try:
+        await store.write(write)
+    except (StoreConflictError, StoreUnavailableError) as error:
+        await _resolve(store, edit_id, error)
+    return AcceptedEdit(edit_id, manifest.version)
+
+
+async def _write_text(
+    store: Store,
+    name: str,
+    edit_id: str,
+    text: str,
+) -> None:
+    """Write a text under a key of its own; a lost answer does no harm."""
+    key = text_key(name, edit_id)
+    try:
+        await store.write(Write(key, text, 0))
+    except StoreUnavailableError:
+        entry = await store.read(key)
+        if entry is None:
+            await store.write(Write(key, text, 0))
+
+
+async def _resolve(
+    store: Store,
+    edit_id: str,
+    error: StoreConflictError | StoreUnavailableError,
+) -> None:
+    """Read back whether the edit took effect; return only if it did."""
+    for _ in range(_READ_BACK_TRIES):
+        try:
+            current = await read_documents(store)
+        except StoreUnavailableError:
+            continue
+        if current.manifest.holds_edit(edit_id):
+            return
+        raise EditRaceError(
+            'apply the edit',
+            f'the documents are at version {current.manifest.version} now, '
+            'by another edit',
+            'look at `chivelead diff`, then apply again; nothing was changed',
+        ) from error
+    raise error
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
@@ -0,0 +1,147 @@
+"""Questions to the nodes: status, confirmation of edits, time line."""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Iterable
+from typing import Any
+
+from chivelead_coordination import Store
+from chivelead_protocol import (
+    ChiveleadError,
+    HybridClock,
+    Member,
+    PeerLink,
+    StatusQuery,
+    StatusReport,
+    TimelineEvent,
+    TimelineQuery,
+)
+
+_RELAY_PREFIX = 'relay/'
+_TIMEOUT_MS = 3000.0
+_OPERATOR = 'operator'
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetView:
+    """What the nodes that answered know.
+
+    Attributes:
+        reports: One report for each node that answered.
+        silent: Names of live members that did not answer.
+    """
+
+    reports: tuple[StatusReport, ...]
+    silent: tuple[str, ...]
+
+    def versions(self) -> dict[str, list[int]]:
+        """Return the versions in force, by failure domain."""
+        domains = {
+            member.vm: member.failure_domain
+            for report in self.reports
+            for member in report.members
+        }
+        found: dict[str, list[int]] = {}
+        for report in self.reports:
+            version = int(dict(report.facts)['config_version'])
+            found.setdefault(domains[report.vm], []).append(version)
+        return found
+
+
+async def first_addresses(
+    store: Store,
+    peers: Iterable[str],
+) -> list[tuple[str, int]]:
+    """Return addresses of nodes, given ones or those in the store."""
+    texts = list(peers)
+    if not texts:
+        entries = await store.read_prefix(_RELAY_PREFIX)
+        texts = [entry.text for entry in entries]
+    return [
+        (host, int(port))
+        for host, _, port in (text.rpartition(':') for text in texts)
+    ]
+
+
+async def ask_node(
+    address: tuple[str, int],
+    secret: str,
+    question: Any,
+) -> Any:
+    """Ask one node and return its answer.
+
+    Raises:
+        ChiveleadError: It cannot be reached or refuses.
+    """
+    host, port = address
+    link = PeerLink(_OPERATOR, host, port, secret.encode(), HybridClock())
+    await link.start()
+    try:
+        return await link.request(question, _TIMEOUT_MS)
+    finally:
+        await link.close()
+
+
+async def view_fleet(
+    addresses: Iterable[tuple[str, int]],
+    secret: str,
+) -> FleetView:
+    """Ask every node that the first ones know for its status."""
+    members: dict[str, Member] = {}
+    for address in addresses:
+        try:
+            report = await ask_node(address, secret, StatusQuery())
+        except ChiveleadError:
+            continue
+        members.update((member.vm, member) for member in report.members)
+    alive = [member for member in members.values() if member.alive]
+    answers = await ask_all(alive, secret, StatusQuery())
+    reports = tuple(answer for answer in answers if answer is not None)
+    heard = {report.vm for report in reports}
+    silent = sorted({member.vm for member in alive} - heard)
+    return FleetView(reports, tuple(silent))
+
+
+async def ask_all(
+    members: Iterable[Member],
+    secret: str,
+    question: Any,
+) -> list[Any]:
+    """Ask several nodes at once; None stands for no answer."""
+    answers = await asyncio.gather(
+        *(
+            ask_node((member.host, member.peer_port), secret, question)
+            for member in members
+        ),
+        return_exceptions=True,
+    )
+    return [
+        None if isinstance(answer, BaseException) else answer
+        for answer in answers
+    ]
+
+
+async def gather_timeline(
+    addresses: Iterable[tuple[str, int]],
+    secret: str,
+    request_id: str,
+    most: int,
+) -> list[TimelineEvent]:
+    """Return the recent events of all nodes in the order of their stamps."""
+    view = await view_fleet(addresses, secret)
+    members = {
+        member.vm: member
+        for report in view.reports
+        for member in report.members
+        if member.alive
+    }
+    answers = await ask_all(
+        members.values(),
+        secret,
+        TimelineQuery(request_id, most),
+    )
+    events = itertools.chain.from_iterable(
+        answer.events for answer in answers if answer is not None
+    )
+    return sorted(events, key=lambda event: (event.stamp, event.vm))
--- /dev/null
+++ b/packages/cli/src/chivelead_cli/_internal/operations/keys.py
@@ -0,0 +1,65 @@
+"""Keys of organisations: issue, withdraw, list."""
+
+import configparser
+import io
+import secrets
+
+from chivelead_config import key_digest
+from chivelead_protocol import ConfigurationError
+
+_KEY_BYTES = 24
+
+
+def add_key(text: str, key_name: str) -> tuple[str, str]:
+    """Return an organisation's document with a new key, and the key."""
+    parser = _parse(text)
+    section = f'key {key_name}'
+    if parser.has_section(section):
+        raise ConfigurationError(
+            f'issue {key_name}',
+            'the organisation has a key of this name',
+            'choose another name',
+        )
+    key = secrets.token_urlsafe(_KEY_BYTES)
+    parser[section] = {'digest_sha256': key_digest(key)}
+    return _dump(parser), key
+
+
+def withdraw_key(text: str, key_name: str) -> str:
+    """Return an organisation's document with a key withdrawn."""
+    parser = _parse(text)
+    section = f'key {key_name}'
+    if not parser.has_section(section):
+        raise ConfigurationError(
+            f'withdraw {key_name}',
+            'the organisation has no key of this name',
+            'see `chivelead key list`',
+        )
+    parser[section]['withdrawn'] = 'yes'
+    return _dump(parser)
+
+
+def list_keys(text: str) -> dict[str, bool]:
+    """Return the names of the keys, and whether each is withdrawn."""
+    parser = _parse(text)
+    return {
+        title.removeprefix('key '): parser.getboolean(
+            title,
+            'withdrawn',
+            fallback=False,
+        )
+        for title in parser.sections()
+        if title.startswith('key ')
+    }
+
+
+def _parse(text: str) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    return parser
+
+
+def _dump(parser: configparser.ConfigParser) -> str:
+    buffer = io.StringIO()
+    parser.write(buffer)
+    return buffer.getvalue()
--- a/packages/coordination/src/chivelead_coordination/_internal/ledger.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/ledger.py
@@ -301,14 +301,10 @@
 
     def _ends_until(self, now_ms: float) -> list[float]:
         """Return the times up to now at which something ends, in order."""
-        holders = (
-            *self._parts.values(),
-            *self._lent.values(),
-            *self._reserved.values(),
-        )
-        return sorted(
-            {holder.ends_ms for holder in holders if holder.ends_ms <= now_ms},
-        )
+        ends = {part.ends_ms for part in self._parts.values()}
+        ends.update(lent.ends_ms for lent in self._lent.values())
+        ends.update(grant.ends_ms for grant in self._reserved.values())
+        return sorted(end_ms for end_ms in ends if end_ms <= now_ms)
 
     def _accrue(self, until_ms: float, bucket: RateBucket) -> None:
         gone_ms = until_ms - self._updated_ms
--- a/packages/coordination/src/chivelead_coordination/_internal/spread.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/spread.py
@@ -204,7 +204,10 @@
                     _WATCH_MS,
                 )
                 self.platform_heard_ms = now_ms()
-                if entry is not None:
+                if entry is None:
+                    # A watch may have gone silent, so the key is read too.
+                    await self.read_store()
+                else:
                     await self._take_manifest(entry)
             except StoreUnavailableError as error:
                 logger.debug('watch: %s', error)
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -126,7 +126,8 @@
 
     async def _run(self, request: CallRequest) -> CallReply:
         allowance = calls.Allowance(request.retry_allowance)
-        deadline_ms = now_ms() + request.timeout_ms
+        came_ms = now_ms()
+        deadline_ms = came_ms + request.timeout_ms
         try:
             await self._admit(request, deadline_ms)
         except RefusedError as error:
@@ -138,8 +139,17 @@
                 organisation=request.organisation,
                 importance=request.importance,
                 reason=error.reason,
+                waited_ms=round(now_ms() - came_ms, 1),
             )
             return self._reply(_refusal(error.reason), allowance)
+        self._events.call(
+            'admitted',
+            request.request_id,
+            attempt_id=request.attempt_id,
+            organisation=request.organisation,
+            importance=request.importance,
+            waited_ms=round(now_ms() - came_ms, 1),
+        )
         return await self._run_admitted(request, allowance, deadline_ms)
 
     async def _admit(self, request: CallRequest, deadline_ms: float) -> None:
@@ -163,13 +173,6 @@
             deadline_ms=deadline_ms,
             allowance=allowance,
         )
-        self._events.call(
-            'admitted',
-            request.request_id,
-            attempt_id=request.attempt_id,
-            organisation=request.organisation,
-            importance=request.importance,
-        )
         started_ms = now_ms()
         # What holds unless an answer or a failure says otherwise.
         reply = calls.refusal_reply(_late_refusal())
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/checkers.py
@@ -0,0 +1,270 @@
+"""Checkers of histories, one for each promise.
+
+A checker knows nothing of the code under test: it reads what callers sent
+and got, what targets ran, and, where a promise is about a decision inside,
+the events that nodes stamped.  It returns one line for each violation.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable, Sequence
+
+from chivelead_standins._internal.records import (
+    CallRecord,
+    History,
+    RunRecord,
+)
+
+Checker = Callable[[History], list[str]]
+CHECKERS: dict[str, Checker] = {}
+
+_OK = 200
+_MS_PER_S = 1000
+_EPSILON = 1e-6
+_STAMP_MS = 1
+
+
+def checker(promise: str) -> Callable[[Checker], Checker]:
+    """Register a checker that needs nothing but the history."""
+
+    def register(check: Checker) -> Checker:
+        CHECKERS[promise] = check
+        return check
+
+    return register
+
+
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """Rate and burst of an organisation."""
+
+    rate_per_s: float
+    burst_requests: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """A decision of admission at a target's node.
+
+    Attributes:
+        waited_ms: Time that the request waited for the decision.
+    """
+
+    vm: str
+    at_ms: float
+    importance: int
+    admitted: bool
+    waited_ms: float
+
+
+@checker('key-never-at-target')
+def check_keys(history: History) -> list[str]:
+    """No target ever sees a key."""
+    return [f'{run.vm} saw a key' for run in history.runs if run.saw_key]
+
+
+@checker('right-organisation')
+def check_organisation(history: History) -> list[str]:
+    """A request runs only for the organisation whose key came with it."""
+    sent = {call.trace: call.organisation for call in history.calls}
+    return [
+        f'{run.trace} of {sent[run.trace]} ran for {run.organisation}'
+        for run in history.runs
+        if run.trace in sent and sent[run.trace] != run.organisation
+    ]
+
+
+@checker('whole-answers')
+def check_answers(history: History) -> list[str]:
+    """Every answer with status 200 is whole and belongs to its request."""
+    return [
+        f'{call.trace} got a wrong or partial answer'
+        for call in history.calls
+        if call.status == _OK and not call.whole
+    ]
+
+
+@checker('not-run-is-true')
+def check_not_run(history: History) -> list[str]:
+    """No request that was answered with not-run has run."""
+    ran = {(run.trace, run.service) for run in history.runs}
+    return [
+        f'{call.trace} was not-run and ran at {call.service}'
+        for call in history.calls
+        if call.outcome == 'not-run' and (call.trace, call.service) in ran
+    ]
+
+
+@checker('at-most-once')
+def check_once(history: History) -> list[str]:
+    """No idempotency key has run twice."""
+    counts = collections.Counter(
+        run.idempotency_key for run in history.runs if run.idempotency_key
+    )
+    return [
+        f'{key} ran {runs} times' for key, runs in counts.items() if runs > 1
+    ]
+
+
+def check_rate(
+    history: History,
+    organisation: str,
+    limit: Limit,
+) -> list[str]:
+    """No window holds more calls than rate and burst allow.
+
+    A call is admitted at some moment between its sending and the start of
+    its run.  Calls whose whole interval lies in a window were surely
+    admitted in it, so the check reports no window wrongly.
+    """
+    intervals = _admission_intervals(history, organisation)
+    return [
+        f'{count} calls of {organisation} from {start:.0f} to {end:.0f} ms, '
+        f'{allowed:.1f} allowed'
+        for start, end, count, allowed in _full_windows(intervals, limit)
+        if count > allowed + _EPSILON
+    ]
+
+
+def worst_window(
+    history: History,
+    organisation: str,
+    limit: Limit,
+) -> float:
+    """Return the largest excess over the allowed count; negative if none."""
+    intervals = _admission_intervals(history, organisation)
+    return max(
+        (
+            count - allowed
+            for _, _, count, allowed in _full_windows(intervals, limit)
+        ),
+        default=0.0,
+    )
+
+
+def check_retries(
+    history: History,
+    chain: Sequence[str],
+    allowance: int,
+) -> list[str]:
+    """The retries made for one root request stay inside its allowance.
+
+    Each run at a service makes one call to the next service of the chain.
+    What a service got beyond the runs of the one before it were retries; a
+    retry higher up makes the calls below it anew, which are none.
+    """
+    runs: dict[str, collections.Counter[str]] = collections.defaultdict(
+        collections.Counter,
+    )
+    for run in history.runs:
+        if run.trace:
+            runs[run.trace][run.service] += 1
+    violations = []
+    for trace, by_service in runs.items():
+        retries = 0
+        above = 1
+        for service in chain:
+            retries += max(0, by_service[service] - above)
+            above = by_service[service]
+        if retries > allowance:
+            violations.append(
+                f'{trace}: {retries} retries, {allowance} allowed'
+            )
+    return violations
+
+
+def check_importance(decisions: Sequence[Decision]) -> list[str]:
+    """No request is refused while a less important one goes before it."""
+    by_vm: dict[str, list[Decision]] = collections.defaultdict(list)
+    for decision in decisions:
+        by_vm[decision.vm].append(decision)
+    violations: list[str] = []
+    for vm, at_vm in by_vm.items():
+        admitted = [decision for decision in at_vm if decision.admitted]
+        for refused in at_vm:
+            if refused.admitted:
+                continue
+            passed = [
+                other
+                for other in admitted
+                if other.importance < refused.importance
+                and _went_instead(other, refused)
+            ]
+            violations.extend(
+                f'{vm}: importance {refused.importance} refused, '
+                f'{other.importance} admitted before'
+                for other in passed
+            )
+    return violations
+
+
+def _went_instead(other: Decision, refused: Decision) -> bool:
+    """Tell whether one was admitted while the other was there.
+
+    Either it was admitted while the other waited, or it kept its place in
+    the queue when the other was refused.  Stamps are whole milliseconds.
+    """
+    if refused.at_ms - refused.waited_ms < other.at_ms < refused.at_ms:
+        return True
+    came_ms = other.at_ms - other.waited_ms
+    return came_ms + _STAMP_MS < refused.at_ms < other.at_ms - _STAMP_MS
+
+
+def check_leaving(
+    history: History,
+    vm: str,
+    left_ms: float,
+    grace_ms: float,
+) -> list[str]:
+    """A leaving target starts no work after the grace."""
+    return [
+        f'{vm} started {run.trace} {run.started_ms - left_ms:.0f} ms after'
+        for run in history.runs
+        if run.vm == vm and run.started_ms > left_ms + grace_ms
+    ]
+
+
+def check_withdrawn(
+    calls: Iterable[CallRecord],
+    withdrawn_ms: float,
+    grace_ms: float,
+) -> list[str]:
+    """A withdrawn key is refused everywhere after the grace."""
+    return [
+        f'{call.trace} was served {call.sent_ms - withdrawn_ms:.0f} ms after'
+        for call in calls
+        if call.sent_ms > withdrawn_ms + grace_ms and call.status == _OK
+    ]
+
+
+def _admission_intervals(
+    history: History,
+    organisation: str,
+) -> list[tuple[float, float]]:
+    first_runs: dict[str, RunRecord] = {}
+    for run in history.runs:
+        known = first_runs.get(run.trace)
+        if known is None or run.started_ms < known.started_ms:
+            first_runs[run.trace] = run
+    return sorted(
+        (call.sent_ms, first_runs[call.trace].started_ms)
+        for call in history.calls
+        if call.organisation == organisation and call.trace in first_runs
+    )
+
+
+def _full_windows(
+    intervals: list[tuple[float, float]],
+    limit: Limit,
+) -> Iterable[tuple[float, float, int, float]]:
+    """Yield, for each start, the window with the largest excess."""
+    for index, (start_ms, _) in enumerate(intervals):
+        ends = sorted(end for _, end in intervals[index:])
+        best: tuple[float, float, int, float] | None = None
+        for count, end_ms in enumerate(ends, 1):
+            span_s = (end_ms - start_ms) / _MS_PER_S
+            allowed = limit.rate_per_s * span_s + limit.burst_requests
+            if best is None or count - allowed > best[2] - best[3]:
+                best = (start_ms, end_ms, count, allowed)
+        if best is not None:
+            yield best
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/commands/demo.py
@@ -0,0 +1,195 @@
+"""Command ``demo``: the Association's layout under overload and an outage."""
+
+import asyncio
+import collections
+import pathlib
+import sys
+
+import uvloop
+from chivelead_protocol import now_ms
+
+from chivelead_standins._internal import checkers
+from chivelead_standins._internal.caller import Callers, Stream
+from chivelead_standins._internal.fleet import Fleet
+from chivelead_standins._internal.layout import Layout, load_layout
+from chivelead_standins._internal.records import CallRecord, History
+from chivelead_standins._internal.store_server import StoreFaults
+
+_LAYOUT = pathlib.Path('examples/layouts/association.ini')
+_WARM_S = 3
+_PHASE_S = 5
+_SURGE = 3
+_SLOWDOWN = 5
+_OK = 200
+_WINDOW_MS = 500
+_RECOVERED = 0.9
+_MS_PER_S = 1000
+
+
+def demo(
+    *,
+    layout: pathlib.Path = _LAYOUT,
+    rate_per_s: float = 60,
+    seed: int = 5,
+) -> None:
+    """Run nodes, store, targets and callers, and report.
+
+    Normal traffic, then three times as much while the deepest service is
+    slow, normal again, and then the store is down for a while.
+
+    Args:
+        layout: Layout file.
+        rate_per_s: Normal rate over all organisations.
+        seed: Seed of arrivals and service times.
+    """
+    uvloop.run(_run(load_layout(layout), rate_per_s, seed))
+
+
+async def _run(layout: Layout, rate_per_s: float, seed: int) -> None:
+    fleet = Fleet(layout, seed=seed)
+    callers = Callers(seed)
+    _say(f'starting {len(layout.nodes)} nodes, store, targets and callers')
+    try:
+        await fleet.start()
+        await callers.start()
+        started_ms = now_ms()
+        await _send(fleet, callers, rate_per_s)
+        runs = tuple(
+            run for target in fleet.targets.values() for run in target.runs
+        )
+        _report(layout, History(tuple(callers.records), runs), started_ms)
+    finally:
+        await fleet.close()
+
+
+async def _send(fleet: Fleet, callers: Callers, rate_per_s: float) -> None:
+    _say('ready; sending normal traffic')
+    streams = _streams(fleet.layout, rate_per_s)
+    sending = asyncio.create_task(
+        callers.run(streams, _WARM_S + 3 * _PHASE_S, _surge),
+    )
+    await asyncio.sleep(_WARM_S)
+    deep = min(fleet.layout.profiles.values(), key=lambda each: each.slots)
+    _say(
+        f'overload: {_SURGE} times the traffic for {_PHASE_S} s, '
+        f'{deep.service} is {_SLOWDOWN} times slower',
+    )
+    _slow_down(fleet, deep.service, _SLOWDOWN)
+    await asyncio.sleep(_PHASE_S)
+    _say('normal traffic again')
+    _slow_down(fleet, deep.service, 1)
+    await asyncio.sleep(_PHASE_S)
+    _say('the store is down until the end')
+    fleet.store_server.faults = StoreFaults(down=True)
+    await sending
+    await callers.close()
+
+
+def _slow_down(fleet: Fleet, service: str, factor: float) -> None:
+    for target in fleet.targets.values():
+        if target.profile.service == service:
+            target.profile.slowdown = factor
+
+
+def _streams(layout: Layout, rate_per_s: float) -> list[Stream]:
+    """Return lookups and bookings of every organisation, by its rate."""
+    total = sum(plan.rate_per_s for plan in layout.organisations)
+    streams: list[Stream] = []
+    for plan in layout.organisations:
+        part = rate_per_s * plan.rate_per_s / total
+        streams.extend(
+            Stream(
+                organisation=plan.name,
+                key=plan.key,
+                service='orders',
+                method=method,
+                path=path,
+                importance=importance,
+                rate_per_s=part * weight,
+                timeout_ms=1000,
+                entries=layout.entries(),
+                keyed=method == 'POST',
+            )
+            for method, path, importance, weight in (
+                ('GET', '/lookup', 3, 0.8),
+                ('POST', '/confirm', 8, 0.2),
+            )
+        )
+    return streams
+
+
+def _surge(_: Stream, due_s: float) -> float:
+    return _SURGE if _WARM_S <= due_s < _WARM_S + _PHASE_S else 1
+
+
+def _report(layout: Layout, history: History, started_ms: float) -> None:
+    by_organisation = collections.defaultdict(list)
+    for call in history.calls:
+        by_organisation[call.organisation].append(call)
+    _say('organisation   sent served whole refused_rate overload other')
+    shares = {
+        name: _report_organisation(name, calls)
+        for name, calls in sorted(by_organisation.items())
+    }
+    worst = min(shares, key=lambda name: shares[name])
+    span_s = (history.calls[-1].ended_ms - started_ms) / _MS_PER_S
+    goodput = sum(call.whole for call in history.calls) / span_s
+    surge_end_ms = started_ms + (_WARM_S + _PHASE_S) * _MS_PER_S
+    refused = sum(call.reason == 'rate' for call in history.calls)
+    _say(
+        f'goodput_per_s={goodput:.1f} '
+        f'recovery_ms={_recovery_ms(history.calls, surge_end_ms):.0f} '
+        f'worst_organisation={worst} worst_served={shares[worst]:.3f} '
+        f'refused_by_rate={refused} '
+        f'duplicates={len(checkers.check_once(history))} '
+        f'over_admission={_over_admission(layout, history)}',
+    )
+
+
+def _report_organisation(name: str, calls: list[CallRecord]) -> float:
+    """Print the line of an organisation and return the part served."""
+    served = sum(call.status == _OK for call in calls)
+    whole = sum(call.whole for call in calls)
+    rate = sum(call.reason == 'rate' for call in calls)
+    overload = sum(call.reason == 'overload' for call in calls)
+    other = len(calls) - served - rate - overload
+    _say(
+        f'{name:12} {len(calls):6} {served:6} {whole:5} '
+        f'{rate:12} {overload:8} {other:5}',
+    )
+    return served / len(calls)
+
+
+def _over_admission(layout: Layout, history: History) -> int:
+    """Return the number of windows that hold more than rate and burst."""
+    return sum(
+        len(
+            checkers.check_rate(
+                history,
+                plan.name,
+                checkers.Limit(plan.rate_per_s, plan.burst_requests),
+            ),
+        )
+        for plan in layout.organisations
+    )
+
+
+def _recovery_ms(calls: tuple[CallRecord, ...], ended_ms: float) -> float:
+    """Return when nine of ten requests were served again."""
+    start_ms = ended_ms
+    last_ms = max(call.sent_ms for call in calls)
+    while start_ms < last_ms:
+        window = [
+            call.whole
+            for call in calls
+            if start_ms <= call.sent_ms < start_ms + _WINDOW_MS
+        ]
+        if window and sum(window) >= _RECOVERED * len(window):
+            return start_ms - ended_ms
+        start_ms += _WINDOW_MS / 5
+    return float('inf')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/fault_proxy.py
@@ -0,0 +1,80 @@
+"""A relay of TCP connections on loopback that can be told to misbehave."""
+
+import asyncio
+import contextlib
+
+_CHUNK_BYTES = 65536
+
+
+class FaultProxy:
+    """Relay connections to a port; cut or silence them on demand.
+
+    Args:
+        port: Port to listen on.
+        target_port: Port to relay to.
+    """
+
+    def __init__(self, port: int, target_port: int) -> None:
+        """Start without faults."""
+        self.refuse = False
+        self._open = asyncio.Event()
+        self._open.set()
+        self._port = port
+        self._target_port = target_port
+        self._server: asyncio.Server | None = None
+        self._stale: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._relay,
+            '127.0.0.1',
+            self._port,
+        )
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._stale):
+            task.cancel()
+
+    def silence_open_connections(self) -> None:
+        """Let present connections carry nothing more, and stay open."""
+        for task in tuple(self._stale):
+            task.cancel()
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self.refuse:
+            writer.close()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                '127.0.0.1',
+                self._target_port,
+            )
+        except OSError:
+            writer.close()
+            return
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(_pump(source, sink))
+            self._stale.add(task)
+            task.add_done_callback(self._stale.discard)
+
+
+async def _pump(
+    source: asyncio.StreamReader,
+    sink: asyncio.StreamWriter,
+) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            chunk = await source.read(_CHUNK_BYTES)
+            if not chunk:
+                sink.close()
+                return
+            sink.write(chunk)
+            await sink.drain()
--- a/packages/standins/src/chivelead_standins/_internal/layout.py
+++ b/packages/standins/src/chivelead_standins/_internal/layout.py
@@ -14,6 +14,7 @@
 
 _FIRST_PORT = 15000
 _LAST_PORT = 32000
+_SEEDS = 3
 _SECRET = 'stand-in-secret'  # noqa: S105
 
 
@@ -171,6 +172,8 @@
         'fleet_secret': _SECRET,
     }
     parser['store'] = {'url': layout.store_url}
+    seeds = [f'127.0.0.1:{peer.peer_port}' for peer in layout.nodes[:_SEEDS]]
+    parser['peers'] = {'seeds': ' '.join(seeds)}
     for name, fields in extra.items():
         if not parser.has_section(name):
             parser.add_section(name)
--- a/packages/standins/src/chivelead_standins/_internal/main.py
+++ b/packages/standins/src/chivelead_standins/_internal/main.py
@@ -2,10 +2,12 @@
 
 import defopt
 
+from chivelead_standins._internal.commands.demo import demo
 from chivelead_standins._internal.commands.latency import latency
+from chivelead_standins._internal.commands.prove import prove
 from chivelead_standins._internal.commands.target import target
 
 
 def main() -> None:
     """Entry point of ``chivelead-standins``."""
-    defopt.run([latency, target])
+    defopt.run([demo, latency, prove, target])
--- a/packages/standins/src/chivelead_standins/_internal/target_server.py
+++ b/packages/standins/src/chivelead_standins/_internal/target_server.py
@@ -43,6 +43,7 @@
         cold_ms: Time after the start during which requests take longer.
         downstream: Calls made for each request, as service and path.
         answer_bytes: Size of an answer.
+        break_on_failure: Break the connection when a call below fails.
         jitter: Largest deviation of a service time, as a part of the mean.
     """
 
@@ -59,6 +60,7 @@
     lie_in_flight: int = -1
     jitter: float = 0.5
     fail_all: bool = False
+    break_on_failure: bool = False
 
 
 class TargetServer:
@@ -195,6 +197,8 @@
             )
         for place in self.profile.downstream:
             status = await self._call(request, place)
+            if status != _OK and self.profile.break_on_failure:
+                _break_connection(request)
             if status != _OK:
                 return web.Response(status=_BAD_GATEWAY, text=f'{status}')
         return _whole_answer(request, body, self.profile.answer_bytes)
@@ -239,6 +243,11 @@
         )
 
 
+def _break_connection(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
 def _sees_key(request: web.BaseRequest) -> bool:
     """Tell whether a key of the stand-in callers came through."""
     texts = [request.path_qs, *request.headers.values()]
--- /dev/null
+++ b/packages/standins/tests/unit/test_checkers.py
@@ -0,0 +1,116 @@
+"""Checkers find the violations of small histories, and nothing else."""
+
+import dataclasses
+
+from chivelead_standins import CallRecord, History, RunRecord
+from chivelead_standins._internal import checkers
+
+CALL = CallRecord(
+    trace='t1',
+    organisation='mill',
+    service='stock',
+    importance=5,
+    entry='here',
+    sent_ms=100,
+    ended_ms=130,
+    status=200,
+    outcome='done',
+    reason='',
+    whole=True,
+)
+RUN = RunRecord(
+    trace='t1',
+    request_id='r1',
+    organisation='mill',
+    service='stock',
+    vm='stock-1',
+    started_ms=110,
+    ended_ms=120,
+    finished=True,
+    saw_key=False,
+    draining=False,
+)
+
+
+def with_call(**changes):
+    """Return a history of one run and one changed call."""
+    return History((dataclasses.replace(CALL, **changes),), (RUN,))
+
+
+def with_runs(*changes):
+    """Return a history of one call and changed runs."""
+    runs = tuple(dataclasses.replace(RUN, **change) for change in changes)
+    return History((CALL,), runs)
+
+
+def test_good_history_has_no_violation():
+    history = History((CALL,), (RUN,))
+    for check in checkers.CHECKERS.values():
+        assert not check(history)
+
+
+def test_key_at_a_target_is_found():
+    assert checkers.check_keys(with_runs({'saw_key': True}))
+
+
+def test_run_for_another_organisation_is_found():
+    assert checkers.check_organisation(with_runs({'organisation': 'yard'}))
+
+
+def test_partial_answer_is_found():
+    assert checkers.check_answers(with_call(whole=False))
+
+
+def test_false_not_run_is_found():
+    assert checkers.check_not_run(with_call(outcome='not-run', status=503))
+
+
+def test_second_run_of_a_key_is_found():
+    keyed = {'idempotency_key': 'k1'}
+    assert not checkers.check_once(with_runs(keyed))
+    assert checkers.check_once(with_runs(keyed, keyed))
+
+
+def test_rate_counts_calls_that_were_surely_in_a_window():
+    calls = tuple(
+        dataclasses.replace(CALL, trace=f't{number}', sent_ms=100 + number)
+        for number in range(6)
+    )
+    runs = tuple(
+        dataclasses.replace(RUN, trace=call.trace, started_ms=call.sent_ms + 5)
+        for call in calls
+    )
+    history = History(calls, runs)
+    assert not checkers.check_rate(history, 'mill', checkers.Limit(1, 6))
+    assert checkers.check_rate(history, 'mill', checkers.Limit(1, 5))
+
+
+def test_retries_are_counted_over_the_chain():
+    first = {'service': 'one'}
+    second = {'service': 'two'}
+    chain = ('one', 'two')
+    once_more = with_runs(first, first, second, second)
+    assert not checkers.check_retries(once_more, chain, 1)
+    twice_more = with_runs(first, first, second, second, second)
+    assert checkers.check_retries(twice_more, chain, 1)
+
+
+def test_less_important_that_went_before_is_found():
+    refused = checkers.Decision('a', 200, 8, admitted=False, waited_ms=50)
+    before = checkers.Decision('a', 170, 2, admitted=True, waited_ms=0)
+    earlier = checkers.Decision('a', 140, 2, admitted=True, waited_ms=0)
+    kept_place = checkers.Decision('a', 240, 2, admitted=True, waited_ms=90)
+    assert not checkers.check_importance([refused, earlier])
+    assert checkers.check_importance([refused, before])
+    assert checkers.check_importance([refused, kept_place])
+
+
+def test_work_after_leaving_is_found():
+    history = History((CALL,), (RUN,))
+    assert not checkers.check_leaving(history, 'stock-1', 90, 30)
+    assert checkers.check_leaving(history, 'stock-1', 70, 30)
+
+
+def test_use_of_a_withdrawn_key_is_found():
+    assert not checkers.check_withdrawn([CALL], 90, 20)
+    assert checkers.check_withdrawn([CALL], 70, 20)
