--- /dev/null
+++ b/packages/policy/tests/unit/test_admission.py
@@ -0,0 +1,160 @@
+"""Admission under overload, on a paused clock."""
+
+import asyncio
+
+import pytest
+from chivelead_policy import (
+    LIMITS,
+    QUEUES,
+    RETRIES,
+    ROUTERS,
+    Admission,
+    Applicant,
+    Candidate,
+    Completion,
+    FailedAttempt,
+    OutlierDetector,
+    RefusedError,
+)
+from chivelead_protocol import ConfigurationError, now_ms
+
+pytestmark = pytest.mark.looptime
+
+
+def make_admission(slots=1, **options):
+    """Return an admission that trusts the slots."""
+    admission = Admission(
+        LIMITS.find('static')(),
+        QUEUES.find('importance-fair')(),
+        **options,
+    )
+    admission.announce(slots)
+    return admission
+
+
+def done(latency_ms=10):
+    """Return a completion."""
+    return Completion(latency_ms, shed=False, failed=False, in_flight=1)
+
+
+async def apply(admission, order, name, importance, organisation='mill'):
+    """Apply for a slot and note the end."""
+    deadline_ms = now_ms() + 60_000
+    try:
+        await admission.admit(Applicant(organisation, importance, deadline_ms))
+    except RefusedError as error:
+        order.append(f'{name}:{error.reason}')
+    else:
+        order.append(name)
+
+
+async def test_most_important_waiter_goes_first():
+    admission = make_admission()
+    order = []
+    tasks = []
+    for name, importance in (('a', 5), ('low', 1), ('high', 9), ('mid', 5)):
+        tasks.append(
+            asyncio.create_task(apply(admission, order, name, importance)),
+        )
+        await asyncio.sleep(0.01)
+    for _ in tasks:
+        admission.release(done())
+        await asyncio.sleep(0.01)
+    assert order == ['a', 'high', 'mid', 'low']
+
+
+async def test_important_newcomer_evicts_the_least_important():
+    admission = make_admission()
+    order = []
+    for number in range(9):
+        asyncio.create_task(apply(admission, order, f'low{number}', 1))
+        await asyncio.sleep(0.01)
+    asyncio.create_task(apply(admission, order, 'high', 9))
+    await asyncio.sleep(0.01)
+    assert any(name.endswith('overload') for name in order)
+    admission.release(done())
+    await asyncio.sleep(0.01)
+    assert order[-1] == 'high'
+
+
+async def test_organisations_take_turns():
+    admission = make_admission()
+    order = []
+    asyncio.create_task(apply(admission, order, 'first', 5, 'loud'))
+    await asyncio.sleep(0.01)
+    for number in range(4):
+        asyncio.create_task(apply(admission, order, f'l{number}', 5, 'loud'))
+        await asyncio.sleep(0.01)
+    asyncio.create_task(apply(admission, order, 'quiet', 5, 'quiet'))
+    await asyncio.sleep(0.01)
+    admission.release(done())
+    await asyncio.sleep(0.01)
+    assert order == ['first', 'quiet']
+
+
+async def test_call_that_cannot_make_its_deadline_is_refused_at_once():
+    admission = make_admission()
+    await admission.admit(Applicant('mill', 5, now_ms() + 1000))
+    admission.release(done(latency_ms=500))
+    with pytest.raises(RefusedError, match='deadline'):
+        await admission.admit(Applicant('mill', 5, now_ms() + 100))
+
+
+async def test_cancelled_waiter_frees_its_place():
+    admission = make_admission()
+    await admission.admit(Applicant('mill', 5, now_ms() + 1000))
+    waiting = asyncio.create_task(apply(admission, [], 'gone', 5))
+    await asyncio.sleep(0.01)
+    waiting.cancel()
+    await asyncio.sleep(0.01)
+    admission.release(done())
+    await admission.admit(Applicant('mill', 5, now_ms() + 1000))
+    assert admission.in_flight == 1
+
+
+async def test_limit_falls_when_the_target_sheds_and_grows_back():
+    limit = LIMITS.find('adaptive')()
+    limit.announce(40)
+    for _ in range(100):
+        limit.complete(_busy(40))
+    assert limit.limit == 40
+    limit.complete(Completion(1, shed=True, failed=False, in_flight=10))
+    assert limit.limit < 10
+
+
+def _busy(in_flight):
+    return Completion(10, shed=False, failed=False, in_flight=in_flight)
+
+
+def test_retries_stop_with_the_allowance_and_the_ratio():
+    policy = RETRIES.find('allowance')()
+    attempt = FailedAttempt('s', 0, 3, may_repeat=True, left_ms=100)
+    assert sum(policy.allows(attempt) for _ in range(100)) == 5
+    spent = FailedAttempt('t', 0, 0, may_repeat=True, left_ms=100)
+    assert not policy.allows(spent)
+    never = FailedAttempt('t', 0, 3, may_repeat=False, left_ms=100)
+    assert not policy.allows(never)
+
+
+def test_nearest_target_with_room_is_chosen():
+    router = ROUTERS.find('nearest-two')(1)
+    far = Candidate('far', 2, 10, 0, 0, 0)
+    full = Candidate('full', 0, 10, 9, 1.2, 0)
+    near = Candidate('near', 1, 10, 0, 0.2, 0)
+    assert router.choose([far, full, near]).vm == 'near'
+
+
+async def test_majority_is_never_ejected():
+    outliers = OutlierDetector()
+    vms = ['a', 'b', 'c', 'd']
+    for vm in vms:
+        for _ in range(3):
+            outliers.failed(vm)
+    assert len(outliers.keep(vms)) == 2
+    await asyncio.sleep(11)
+    assert outliers.keep(vms) == vms
+
+
+def test_unknown_policy_names_the_known_ones():
+    with pytest.raises(ConfigurationError, match='allowance, naive, none'):
+        RETRIES.find('magic')
--- /dev/null
+++ b/packages/protocol/tests/unit/test_link.py
@@ -0,0 +1,73 @@
+"""Links let in holders of the secret only, and notice silence."""
+
+import time
+
+import pytest
+import uvloop
+from chivelead_protocol import (
+    Acknowledged,
+    AuthenticationError,
+    HybridClock,
+    LinkLostError,
+    PeerLink,
+    PeerServer,
+    StatusQuery,
+    now_ms,
+)
+
+HOST = '127.0.0.1'
+
+
+async def start_server(answer, secret=b'secret'):
+    """Return a server on a free port, and the port."""
+    server = PeerServer('far', secret, HybridClock(), answer)
+    await server.start(HOST, 0)
+    port = server._server.sockets[0].getsockname()[1]
+    return server, port
+
+
+async def acknowledge(vm, body):
+    """Answer everything."""
+    return Acknowledged()
+
+
+async def test_holder_of_the_secret_is_answered():
+    server, port = await start_server(acknowledge)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    assert await link.request(StatusQuery(), 5000) == Acknowledged()
+    assert link.peer_vm == 'far'
+    await link.close()
+    await server.close()
+
+
+async def test_server_with_another_secret_is_refused():
+    server, port = await start_server(acknowledge, b'other')
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    with pytest.raises(AuthenticationError, match='secret'):
+        await link.start()
+    await server.close()
+
+
+async def test_silent_link_is_found_and_its_requests_fail():
+
+    server, port = await start_server(acknowledge)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    # The other side stops reading and answering, with the connection open.
+    connection = next(iter(server._server.connections))
+    connection.transport.pause_reading()
+    with pytest.raises(LinkLostError):
+        await link.request(StatusQuery(), 60_000)
+    assert not link.is_open
+    await link.close()
+    await server.close()
+
+
+def test_clock_moves_within_one_iteration_of_uvloop():
+    async def freeze():
+        before_ms = now_ms()
+        time.sleep(0.05)
+        return now_ms() - before_ms
+
+    assert uvloop.run(freeze()) >= 50
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/commands/capacity.py
@@ -0,0 +1,171 @@
+"""Command ``capacity``: what an idle node costs, at several fleet sizes."""
+
+import asyncio
+import configparser
+import dataclasses
+import os
+import pathlib
+import statistics
+import sys
+from collections.abc import Sequence
+
+import uvloop
+from chivelead_cli import view_fleet
+
+from chivelead_standins._internal.fleet import Fleet
+from chivelead_standins._internal.layout import plan_layout
+from chivelead_standins._internal.scenarios import SECRET
+
+_DOMAINS = 7
+_SERVICES = 4
+_TARGET_NODES = 580
+_READY_S = 240
+_KIB = 1024
+_STATM_RESIDENT = 1
+_STAT_USER = 13
+_STAT_SYSTEM = 14
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """What the nodes of one fleet used, for each node.
+
+    Attributes:
+        cpu_percent: Of one core.
+        sent_bytes_per_s: Over links to other nodes.
+        store_calls_per_s: Of the whole fleet.
+    """
+
+    nodes: int
+    cpu_percent: float
+    cpu_most_percent: float
+    resident_mb: float
+    sent_bytes_per_s: float
+    sent_most_bytes_per_s: float
+    store_calls_per_s: float
+
+
+def capacity(
+    *,
+    sizes: Sequence[int] = (14, 28, 56),
+    settle_s: float = 15,
+    measure_s: float = 20,
+) -> None:
+    """Measure idle nodes at several sizes, and print the slopes.
+
+    Args:
+        sizes: Numbers of nodes; each is started as processes.
+        settle_s: Wait after all nodes are ready.
+        measure_s: Time of the measurement.
+    """
+    usages = []
+    for nodes in sizes:
+        usage = uvloop.run(_measure(nodes, settle_s, measure_s))
+        usages.append(usage)
+        _print(usage)
+    if len(usages) > 1:
+        _print_slopes(usages)
+
+
+async def _measure(nodes: int, settle_s: float, measure_s: float) -> Usage:
+    fleet = Fleet(plan_layout(_layout(nodes)), targets_here=True)
+    try:
+        await fleet.start(_READY_S)
+        await asyncio.sleep(settle_s)
+        before = await _sample(fleet)
+        calls_before = sum(fleet.store_server.counts.values())
+        await asyncio.sleep(measure_s)
+        after = await _sample(fleet)
+        calls = sum(fleet.store_server.counts.values()) - calls_before
+    finally:
+        await fleet.close()
+    ticks_per_s = os.sysconf('SC_CLK_TCK')
+    cpu = [
+        (after[vm][0] - before[vm][0]) / ticks_per_s / measure_s * 100
+        for vm in after
+    ]
+    sent = [(after[vm][2] - before[vm][2]) / measure_s for vm in after]
+    return Usage(
+        nodes=nodes,
+        cpu_percent=statistics.mean(cpu),
+        cpu_most_percent=max(cpu),
+        resident_mb=max(sample[1] for sample in after.values()),
+        sent_bytes_per_s=statistics.mean(sent),
+        sent_most_bytes_per_s=max(sent),
+        store_calls_per_s=calls / measure_s,
+    )
+
+
+async def _sample(fleet: Fleet) -> dict[str, tuple[int, float, int]]:
+    """Return ticks, resident MB and bytes sent of each node."""
+    addresses = [('127.0.0.1', fleet.layout.nodes[0].peer_port)]
+    view = await view_fleet(addresses, SECRET)
+    samples = {}
+    for report in view.reports:
+        pid = fleet.processes[report.vm].pid
+        stat = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
+        statm = pathlib.Path(f'/proc/{pid}/statm').read_text().split()
+        pages = int(statm[_STATM_RESIDENT])
+        samples[report.vm] = (
+            int(stat[_STAT_USER]) + int(stat[_STAT_SYSTEM]),
+            pages * os.sysconf('SC_PAGE_SIZE') / _KIB / _KIB,
+            int(dict(report.facts)['bytes_sent']),
+        )
+    return samples
+
+
+def _layout(nodes: int) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(interpolation=None)
+    for number in range(_DOMAINS):
+        region = 'north' if number % 2 else 'south'
+        parser[f'failure_domain d{number}'] = {'region': region}
+    for number in range(_SERVICES):
+        name = f's{number}'
+        parser[f'service {name}'] = {
+            'instances': str(nodes // _SERVICES),
+            'slots': '50',
+            'connections': '200',
+            'service_ms': '5',
+        }
+        parser[f'route:{name} ready'] = {
+            'method': 'GET',
+            'path': '/ready',
+            'importance': '5',
+            'idempotent': 'yes',
+            'timeout_ms': '2000',
+        }
+    parser['organisation all'] = {'rate_per_s': '1000', 'burst_requests': '500'}
+    return parser
+
+
+def _print(usage: Usage) -> None:
+    sys.stdout.write(
+        f'nodes={usage.nodes} cpu_percent={usage.cpu_percent:.2f} '
+        f'cpu_most_percent={usage.cpu_most_percent:.2f} '
+        f'resident_mb={usage.resident_mb:.0f} '
+        f'sent_bytes_per_s={usage.sent_bytes_per_s:.0f} '
+        f'sent_most_bytes_per_s={usage.sent_most_bytes_per_s:.0f} '
+        f'store_calls_per_s={usage.store_calls_per_s:.1f}\n',
+    )
+    sys.stdout.flush()
+
+
+def _print_slopes(usages: list[Usage]) -> None:
+    """Print straight lines through the sizes, read off at the target."""
+    sizes = [usage.nodes for usage in usages]
+    for name in (
+        'cpu_percent',
+        'resident_mb',
+        'sent_bytes_per_s',
+        'sent_most_bytes_per_s',
+        'store_calls_per_s',
+    ):
+        line = statistics.linear_regression(
+            sizes,
+            [getattr(usage, name) for usage in usages],
+        )
+        at_target = line.intercept + line.slope * _TARGET_NODES
+        sys.stdout.write(
+            f'figure={name} per_node={line.slope:.4f} '
+            f'base={line.intercept:.2f} at_{_TARGET_NODES}={at_target:.1f}\n',
+        )
--- a/packages/standins/src/chivelead_standins/_internal/fleet.py
+++ b/packages/standins/src/chivelead_standins/_internal/fleet.py
@@ -64,7 +64,7 @@
         self._seed = seed
         self._folder = tempfile.TemporaryDirectory(prefix='chivelead-')
 
-    async def start(self) -> None:
+    async def start(self, ready_timeout_s: float = _READY_TIMEOUT_S) -> None:
         """Start the store, put the documents, start targets and nodes."""
         await self.store_server.start('127.0.0.1', self.layout.store_port)
         await put_documents(self.layout)
@@ -77,7 +77,7 @@
             )
             if self._targets_here:
                 await self.targets[node.vm].start()
-        await self.wait_ready()
+        await self.wait_ready(ready_timeout_s)
 
     async def close(self) -> None:
         """End all that was started."""
@@ -135,7 +135,7 @@
         path = pathlib.Path(self._folder.name) / f'{vm}.log'
         return path.read_text(encoding='utf-8')
 
-    async def wait_ready(self, timeout_s: float = _READY_TIMEOUT_S) -> None:
+    async def wait_ready(self, timeout_s: float) -> None:
         """Wait until every node serves calls of every service."""
         async with (
             asyncio.timeout(timeout_s),
--- /dev/null
+++ b/tests/functional/test_fleet.py
@@ -0,0 +1,195 @@
+"""One small fleet of processes: answers, refusals, commands, shutdown."""
+
+import asyncio
+import os
+import sys
+
+import aiohttp
+import pytest
+from chivelead_standins import Callers, Fleet
+from chivelead_standins._internal import checkers
+from chivelead_standins._internal.layout import (
+    node_settings,
+    plan_layout,
+)
+from chivelead_standins._internal.scenarios import (
+    SECRET,
+    common_proofs,
+    history_of,
+    small_layout,
+    stream,
+)
+
+FOUR_MIB = 4 * 1024 * 1024
+
+
+async def run_command(*arguments, **environment):
+    """Run a command and return its exit status and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+        env={**os.environ, **environment},
+    )
+    output, _ = await process.communicate()
+    return process.returncode, output.decode()
+
+
+async def operate(fleet, *arguments):
+    """Run the operators' command against a fleet."""
+    return await run_command(
+        '-c',
+        'from chivelead_cli._internal.main import main; main()',
+        *arguments,
+        CHIVELEAD_STORE=fleet.layout.store_url,
+        CHIVELEAD_SECRET=SECRET,
+    )
+
+
+async def ask(entry, path, method='GET', **options):
+    """Send one request and return status, outcome, and problem title."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, f'{entry}{path}', **options) as answer,
+    ):
+        title = ''
+        if answer.content_type == 'application/problem+json':
+            title = (await answer.json())['title']
+        outcome = answer.headers['Chivelead-Outcome']
+        return answer.status, outcome, title
+
+
+async def check_refusals(fleet):
+    """Every kind of bad request gets its own clear refusal."""
+    entry = fleet.layout.entries()[0]
+    key = {'Authorization': f'Bearer {fleet.layout.organisations[0].key}'}
+    bad = {'Authorization': 'Bearer wrong'}
+    expected = (
+        ('/orders/low', 'GET', {'headers': bad}, 401, 'bad-key'),
+        ('/orders/low', 'GET', {}, 401, 'bad-key'),
+        ('/nothing/low', 'GET', {'headers': key}, 404, 'unknown-service'),
+        ('/orders/nothing', 'GET', {'headers': key}, 404, 'unknown-route'),
+        (
+            '/orders/low',
+            'GET',
+            {'headers': {**key, 'Chivelead-Timeout-Ms': '0'}},
+            504,
+            'deadline',
+        ),
+        (
+            '/orders/low',
+            'GET',
+            {'headers': {**key, 'Chivelead-Timeout-Ms': 'soon'}},
+            400,
+            'bad-timeout',
+        ),
+        (
+            '/orders/book',
+            'POST',
+            {'headers': key, 'data': bytes(FOUR_MIB + 1)},
+            413,
+            'body-too-large',
+        ),
+        (
+            '/orders/low?k=key-secret-mill',
+            'GET',
+            {'headers': key},
+            400,
+            'key-in-url',
+        ),
+    )
+    for path, method, options, status, title in expected:
+        got = await ask(entry, path, method, **options)
+        assert got == (status, 'not-run', title)
+
+
+async def check_commands(fleet, tmp_path):
+    """An operator edits, sees the edit confirmed, and issues a key."""
+    status, output = await operate(fleet, 'show', 'organisation/mill')
+    assert status == 0
+    text = output.partition('\n')[2]
+    path = tmp_path / 'mill.ini'
+    path.write_text(text.replace('rate_per_s = 60', 'rate_per_s = 61'))
+    status, output = await operate(fleet, 'diff', str(path))
+    assert '+rate_per_s = 61' in output
+    status, output = await operate(fleet, 'apply', str(path))
+    assert status == 0, output
+    assert 'failure_domain=north-1 confirmed=2 nodes=2' in output
+    path.write_text(text.replace('rate_per_s = 60', 'rate_per_s = -1'))
+    status, output = await operate(fleet, 'apply', str(path))
+    assert status == 1
+    assert 'rate_per_s: expected a number from 0' in output
+    status, output = await operate(fleet, 'key', 'issue', 'mill', 'second')
+    assert status == 0
+    key = output.rpartition('key=')[2].strip()
+    headers = {'Authorization': f'Bearer {key}'}
+    status, output = await operate(fleet, 'key', 'withdraw', 'mill', 'second')
+    assert status == 0, output
+    for entry in fleet.layout.entries():
+        got = await ask(entry, '/orders/low', headers=headers)
+        assert got == (401, 'not-run', 'bad-key')
+    status, output = await operate(fleet, 'status')
+    assert output.count('vm=') == 4
+    status, output = await operate(fleet, 'timeline', '--most', '5')
+    assert status == 0
+    assert 'stamp=' in output
+    assert 'key-secret' not in output
+    assert (await operate(fleet, 'history'))[1].count('version=') == 4
+
+
+async def test_fleet(tmp_path):
+    fleet = Fleet(plan_layout(small_layout()))
+    callers = Callers(3)
+    try:
+        await fleet.start(120)
+        await callers.start()
+        streams = [
+            stream(fleet.layout, 'yard', 'orders/low', 20),
+            stream(
+                fleet.layout,
+                'yard',
+                'orders/book',
+                10,
+                keyed=True,
+                body=b'x' * 100_000,
+            ),
+        ]
+        await callers.run(streams, 3)
+        await check_refusals(fleet)
+        await check_commands(fleet, tmp_path)
+        assert await fleet.terminate('orders-1') == 0
+        await callers.close()
+        history = history_of(fleet, callers)
+        assert any(call.whole for call in history.calls)
+        for proof in common_proofs(history):
+            assert not proof.violations
+        for plan in fleet.layout.organisations:
+            limit = checkers.Limit(plan.rate_per_s, plan.burst_requests)
+            assert not checkers.check_rate(history, plan.name, limit)
+    finally:
+        await fleet.close()
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'expected'),
+    [
+        ('region = north\n', '', '[node] region: missing; expected a text'),
+        ('[peers]', '[pears]', '[pears]: unknown section'),
+    ],
+)
+async def test_bad_settings_end_with_one_line(tmp_path, old, new, expected):
+    layout = plan_layout(small_layout())
+    text = node_settings(layout.nodes[0], layout, {})
+    path = tmp_path / 'node.ini'
+    path.write_text(text.replace(old, new))
+    status, output = await run_command(
+        '-m',
+        'chivelead_node',
+        '--settings',
+        str(path),
+    )
+    assert status == 2
+    assert expected in output
+    assert str(path) in output
+    assert output.count('\n') == 1
