Let commands reach nodes by the store in the environment; test silence

Tests with a proxy that silences open connections: the store is reached over a new one, a link fails its requests.

--- a/packages/cli/src/chivelead_cli/_internal/commands/apply.py
+++ b/packages/cli/src/chivelead_cli/_internal/commands/apply.py
@@ -11,7 +11,7 @@
 from chivelead_cli._internal.operations.edits import AcceptedEdit, apply_edit
 from chivelead_cli._internal.operations.files import read_files
 from chivelead_cli._internal.operations.fleet_view import (
-    first_addresses,
+    relay_addresses,
     view_fleet,
 )
 
@@ -59,7 +59,7 @@
 ) -> context.ExitStatus:
     """Wait until every node has the edit, and report by failure domain."""
     fleet_secret = context.fleet_secret(secret)
-    addresses = await first_addresses(store, ())
+    addresses = await relay_addresses(store)
     limit_ms = now_ms() + wait_s * _MS_PER_S
     while True:
         view = await view_fleet(addresses, fleet_secret)
--- a/packages/cli/src/chivelead_cli/_internal/commands/status.py
+++ b/packages/cli/src/chivelead_cli/_internal/commands/status.py
@@ -5,7 +5,6 @@
 from chivelead_cli._internal import context
 from chivelead_cli._internal.operations.fleet_view import (
     ask_all,
-    first_addresses,
     view_fleet,
 )
 
@@ -26,7 +25,7 @@
     """
 
     async def work() -> context.ExitStatus:
-        addresses = await _addresses(store, peers)
+        addresses = await context.node_addresses(store, peers)
         view = await view_fleet(addresses, context.fleet_secret(secret))
         for report in sorted(view.reports, key=lambda report: report.vm):
             own = next(
@@ -75,7 +74,9 @@
 
     async def work() -> context.ExitStatus:
         fleet_secret = context.fleet_secret(secret)
-        view = await view_fleet(await _addresses(store, ()), fleet_secret)
+        view = await view_fleet(
+            await context.node_addresses(store, ()), fleet_secret
+        )
         members = {
             member.vm: member
             for report in view.reports
@@ -93,11 +94,3 @@
         return context.ExitStatus.done
 
     context.run(work)
-
-
-async def _addresses(
-    store: str,
-    peers: tuple[str, ...],
-) -> list[tuple[str, int]]:
-    async with context.open_store(store or 'http://127.0.0.1:1') as opened:
-        return await first_addresses(opened, peers)
--- a/packages/cli/src/chivelead_cli/_internal/commands/timeline.py
+++ b/packages/cli/src/chivelead_cli/_internal/commands/timeline.py
@@ -7,7 +7,6 @@
 
 from chivelead_cli._internal import context
 from chivelead_cli._internal.operations.fleet_view import (
-    first_addresses,
     gather_timeline,
 )
 
@@ -36,8 +35,7 @@
     """
 
     async def work() -> context.ExitStatus:
-        async with context.open_store(store or 'http://127.0.0.1:1') as opened:
-            addresses = await first_addresses(opened, peers)
+        addresses = await context.node_addresses(store, peers)
         events = await gather_timeline(
             addresses,
             context.fleet_secret(secret),
--- a/packages/cli/src/chivelead_cli/_internal/context.py
+++ b/packages/cli/src/chivelead_cli/_internal/context.py
@@ -18,6 +18,10 @@
 )
 
 from chivelead_cli._internal.operations.edits import EditRaceError
+from chivelead_cli._internal.operations.fleet_view import (
+    parse_addresses,
+    relay_addresses,
+)
 
 _TIMEOUT_MS = 2000
 
@@ -55,6 +59,22 @@
         await store.close()
 
 
+async def node_addresses(
+    store: str,
+    peers: tuple[str, ...],
+) -> list[tuple[str, int]]:
+    """Return addresses of nodes: the given ones, else those in the store.
+
+    Raises:
+        ConfigurationError: No peers and no store are given.
+        StoreUnavailableError: The store did not answer.
+    """
+    if peers:
+        return parse_addresses(peers)
+    async with open_store(store) as opened:
+        return await relay_addresses(opened)
+
+
 def fleet_secret(given: str) -> str:
     """Return the secret of the fleet, given or in CHIVELEAD_SECRET.
 
--- a/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
+++ b/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
@@ -9,6 +9,7 @@
 from chivelead_coordination import Store
 from chivelead_protocol import (
     ChiveleadError,
+    ConfigurationError,
     HybridClock,
     Member,
     PeerLink,
@@ -49,19 +50,29 @@
         return found
 
 
-async def first_addresses(
-    store: Store,
-    peers: Iterable[str],
-) -> list[tuple[str, int]]:
-    """Return addresses of nodes, given ones or those in the store."""
-    texts = list(peers)
-    if not texts:
-        entries = await store.read_prefix(_RELAY_PREFIX)
-        texts = [entry.text for entry in entries]
-    return [
-        (host, int(port))
-        for host, _, port in (text.rpartition(':') for text in texts)
-    ]
+async def relay_addresses(store: Store) -> list[tuple[str, int]]:
+    """Return the addresses of the relays, as the store has them."""
+    entries = await store.read_prefix(_RELAY_PREFIX)
+    return parse_addresses(entry.text for entry in entries)
+
+
+def parse_addresses(texts: Iterable[str]) -> list[tuple[str, int]]:
+    """Return host and port of each text of the form host:port.
+
+    Raises:
+        ConfigurationError: A text has another form.
+    """
+    addresses = []
+    for text in texts:
+        host, colon, port = text.rpartition(':')
+        if not colon or not port.isdigit():
+            raise ConfigurationError(
+                f'read the address {text}',
+                'it has no port',
+                'expected host:port with an IP number',
+            )
+        addresses.append((host, int(port)))
+    return addresses
 
 
 async def ask_node(
--- /dev/null
+++ b/tests/functional/test_silence.py
@@ -0,0 +1,76 @@
+"""Connections that go silent for good are given up and replaced."""
+
+import asyncio
+
+from chivelead_coordination import HttpStore, Write
+from chivelead_protocol import (
+    HybridClock,
+    LinkLostError,
+    PeerLink,
+    PeerServer,
+    Pong,
+    StatusQuery,
+    StoreUnavailableError,
+    now_ms,
+)
+from chivelead_standins import StoreServer
+from chivelead_standins._internal.fault_proxy import FaultProxy
+from chivelead_standins._internal.layout import free_ports
+
+HOST = '127.0.0.1'
+
+
+async def test_store_is_reached_again_over_a_new_connection():
+    ports = free_ports()
+    store_port, proxy_port = next(ports), next(ports)
+    server = StoreServer()
+    await server.start(HOST, store_port)
+    proxy = FaultProxy(proxy_port, store_port)
+    await proxy.start()
+    store = HttpStore(f'http://{HOST}:{proxy_port}', 1000)
+    await store.start()
+    await store.write(Write('key', 'text', 0))
+    proxy.silence_open_connections()
+    try:
+        await store.read('key')
+    except StoreUnavailableError as error:
+        assert error.hint == 'a write may have taken effect'
+    entry = await store.read('key')
+    assert entry.text == 'text'
+    await store.close()
+    await proxy.close()
+    await server.close()
+
+
+async def test_silent_link_fails_its_requests_and_a_new_one_works():
+    ports = free_ports()
+    peer_port, proxy_port = next(ports), next(ports)
+    blocked = asyncio.Event()
+
+    async def answer(vm, body):
+        await blocked.wait()
+        return Pong()
+
+    server = PeerServer('far', b'secret', HybridClock(), answer)
+    await server.start(HOST, peer_port)
+    proxy = FaultProxy(proxy_port, peer_port)
+    await proxy.start()
+    link = PeerLink('near', HOST, proxy_port, b'secret', HybridClock())
+    await link.start()
+    waiting = asyncio.create_task(link.request(StatusQuery(), 60_000))
+    await asyncio.sleep(0.1)
+    proxy.silence_open_connections()
+    silent_ms = now_ms()
+    try:
+        await waiting
+    except LinkLostError:
+        print('found silent after', now_ms() - silent_ms, 'ms')
+    assert not link.is_open
+    blocked.set()
+    again = PeerLink('near', HOST, proxy_port, b'secret', HybridClock())
+    await again.start()
+    assert await again.request(StatusQuery(), 60_000) == Pong()
+    await link.close()
+    await again.close()
+    await proxy.close()
+    await server.close()
