Document design, promises, operations and terms; experiment command

Cause: an operator or newcomer had nothing to read, and policies could not be compared in one run.

Change: README, docs/ with design notes, a reference of all fields that is tested against the code, example documents, `experiment` (policies side by side with the same seed, table and picture), shared measures, test of a port in use.

`experiment` has not been run yet.

--- /dev/null
+++ b/packages/config/tests/unit/test_reference.py
@@ -0,0 +1,34 @@
+"""The reference pages name every field, with what it accepts."""
+
+import dataclasses
+import pathlib
+import typing
+
+import pytest
+from chivelead_config._internal import documents
+from chivelead_config._internal.fields import describe, spec_of
+from chivelead_config._internal.settings import SECTIONS
+
+ROOT = pathlib.Path(__file__).parents[4]
+KINDS = (
+    *SECTIONS.values(),
+    documents.ServiceSection,
+    documents.Route,
+    documents.RateLimit,
+    documents.OrganisationSection,
+    documents.Key,
+    documents.FleetSection,
+    documents.FailureDomain,
+)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_every_field_is_on_the_page(kind):
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text(encoding='utf-8')
+    hints = typing.get_type_hints(kind)
+    for field in dataclasses.fields(kind):
+        spec = spec_of(field)
+        default = 'required' if spec.required else f'`{field.default}`'
+        accepts = describe(hints[field.name], spec)
+        row = f'| `{field.name}` | {accepts} | {default} | {spec.text} |'
+        assert row in page
--- a/packages/standins/src/chivelead_standins/_internal/commands/demo.py
+++ b/packages/standins/src/chivelead_standins/_internal/commands/demo.py
@@ -10,8 +10,12 @@
 
 from chivelead_standins._internal import checkers
 from chivelead_standins._internal.caller import Callers, Stream
+from chivelead_standins._internal.commands.experiment import (
+    organisation_streams,
+)
 from chivelead_standins._internal.fleet import Fleet
 from chivelead_standins._internal.layout import Layout, load_layout
+from chivelead_standins._internal.measures import recovery_ms
 from chivelead_standins._internal.records import CallRecord, History
 from chivelead_standins._internal.store_server import StoreFaults
 
@@ -21,8 +25,6 @@
 _SURGE = 3
 _SLOWDOWN = 5
 _OK = 200
-_WINDOW_MS = 500
-_RECOVERED = 0.9
 _MS_PER_S = 1000
 
 
@@ -64,7 +66,7 @@
 
 async def _send(fleet: Fleet, callers: Callers, rate_per_s: float) -> None:
     _say('ready; sending normal traffic')
-    streams = _streams(fleet.layout, rate_per_s)
+    streams = organisation_streams(fleet.layout, rate_per_s)
     sending = asyncio.create_task(
         callers.run(streams, _WARM_S + 3 * _PHASE_S, _surge),
     )
@@ -91,33 +93,6 @@
             target.profile.slowdown = factor
 
 
-def _streams(layout: Layout, rate_per_s: float) -> list[Stream]:
-    """Return lookups and bookings of every organisation, by its rate."""
-    total = sum(plan.rate_per_s for plan in layout.organisations)
-    streams: list[Stream] = []
-    for plan in layout.organisations:
-        part = rate_per_s * plan.rate_per_s / total
-        streams.extend(
-            Stream(
-                organisation=plan.name,
-                key=plan.key,
-                service='orders',
-                method=method,
-                path=path,
-                importance=importance,
-                rate_per_s=part * weight,
-                timeout_ms=1000,
-                entries=layout.entries(),
-                keyed=method == 'POST',
-            )
-            for method, path, importance, weight in (
-                ('GET', '/lookup', 3, 0.8),
-                ('POST', '/confirm', 8, 0.2),
-            )
-        )
-    return streams
-
-
 def _surge(_: Stream, due_s: float) -> float:
     return _SURGE if _WARM_S <= due_s < _WARM_S + _PHASE_S else 1
 
@@ -138,7 +113,7 @@
     refused = sum(call.reason == 'rate' for call in history.calls)
     _say(
         f'goodput_per_s={goodput:.1f} '
-        f'recovery_ms={_recovery_ms(history.calls, surge_end_ms):.0f} '
+        f'recovery_ms={recovery_ms(history.calls, surge_end_ms):.0f} '
         f'worst_organisation={worst} worst_served={shares[worst]:.3f} '
         f'refused_by_rate={refused} '
         f'duplicates={len(checkers.check_once(history))} '
@@ -174,22 +149,6 @@
     )
 
 
-def _recovery_ms(calls: tuple[CallRecord, ...], ended_ms: float) -> float:
-    """Return when nine of ten requests were served again."""
-    start_ms = ended_ms
-    last_ms = max(call.sent_ms for call in calls)
-    while start_ms < last_ms:
-        window = [
-            call.whole
-            for call in calls
-            if start_ms <= call.sent_ms < start_ms + _WINDOW_MS
-        ]
-        if window and sum(window) >= _RECOVERED * len(window):
-            return start_ms - ended_ms
-        start_ms += _WINDOW_MS / 5
-    return float('inf')
-
-
 def _say(line: str) -> None:
     sys.stdout.write(f'{line}\n')
     sys.stdout.flush()
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/commands/experiment.py
@@ -0,0 +1,222 @@
+"""Command ``experiment``: policies side by side under overload."""
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import sys
+from collections.abc import Mapping, Sequence
+
+import uvloop
+from chivelead_protocol import now_ms
+
+from chivelead_standins._internal import measures
+from chivelead_standins._internal.caller import Callers, Stream
+from chivelead_standins._internal.fleet import Fleet
+from chivelead_standins._internal.layout import Layout, load_layout
+from chivelead_standins._internal.plots import Curve, draw_timeline
+from chivelead_standins._internal.records import History
+
+_LAYOUT = pathlib.Path('examples/layouts/association.ini')
+_WARM_S = 4
+_TRIGGER_S = 8
+_AFTER_S = 8
+_MS_PER_S = 1000
+_IMPORTANT = 8
+
+POLICIES: Mapping[str, Mapping[str, str]] = {
+    'no-control': {
+        'admission': 'none',
+        'queue': 'fifo',
+        'routing': 'round-robin',
+        'retries': 'naive',
+        'rates': 'unlimited',
+    },
+    'static-split': {'rates': 'static'},
+    'chivelead': {},
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Trigger:
+    """What goes wrong for a time.
+
+    Attributes:
+        demand: Factor on the demand.
+        slowdown: Factor on the service time of the deepest service.
+        loud: Factor on the demand of the first organisation.
+        client_retries: Retries by the callers themselves.
+    """
+
+    demand: float = 1
+    slowdown: float = 1
+    loud: float = 1
+    client_retries: int = 0
+
+
+TRIGGERS: Mapping[str, Trigger] = {
+    'demand': Trigger(demand=3),
+    'slow': Trigger(slowdown=5),
+    'slow-retrying': Trigger(slowdown=5, client_retries=3),
+    'slow-demand': Trigger(slowdown=5, demand=3),
+    'loud': Trigger(loud=5),
+}
+
+
+def experiment(
+    *scenarios: str,
+    layout: pathlib.Path = _LAYOUT,
+    policies: Sequence[str] = (),
+    rate_per_s: float = 80,
+    seed: int = 21,
+    plot: pathlib.Path | None = None,
+) -> None:
+    """Run scenarios under several policies with the same seed.
+
+    Example: ``chivelead-standins experiment slow --plot slow.svg``
+
+    Args:
+        scenarios: Names such as slow or demand; all when none is given.
+        layout: Layout file.
+        policies: Names of the policies; all when left out.
+        rate_per_s: Normal demand over all organisations.
+        seed: Seed of arrivals and service times.
+        plot: Write the goodput over time of the last scenario as SVG or PNG.
+    """
+    for scenario in scenarios or tuple(TRIGGERS):
+        curves = []
+        for policy in policies or tuple(POLICIES):
+            run = _Run(load_layout(layout), TRIGGERS[scenario], rate_per_s)
+            history, started_ms = uvloop.run(run.play(policy, seed))
+            _print(run, f'scenario={scenario} policy={policy}', history)
+            curves.append(Curve(policy, history, started_ms))
+        if plot is not None:
+            phase = (_WARM_S, _WARM_S + _TRIGGER_S)
+            draw_timeline(plot, scenario, curves, phase)
+
+
+class _Run:
+    """One scenario on one fleet."""
+
+    def __init__(
+        self,
+        layout: Layout,
+        trigger: Trigger,
+        rate_per_s: float,
+    ) -> None:
+        self.layout = layout
+        self.trigger = trigger
+        self.deep = min(layout.profiles.values(), key=lambda each: each.slots)
+        self.phase = measures.Phase(0, 0)
+        self._rate_per_s = rate_per_s
+
+    async def play(self, policy: str, seed: int) -> tuple[History, float]:
+        """Return the history and the time of its start."""
+        fleet = Fleet(self.layout, {'policy': POLICIES[policy]}, seed)
+        callers = Callers(seed)
+        try:
+            await fleet.start()
+            await callers.start()
+            started_ms = now_ms()
+            await self._send(fleet, callers)
+        finally:
+            await fleet.close()
+        trigger_ms = started_ms + _WARM_S * _MS_PER_S
+        self.phase = measures.Phase(
+            trigger_ms,
+            trigger_ms + _TRIGGER_S * _MS_PER_S,
+        )
+        runs = [run for each in fleet.targets.values() for run in each.runs]
+        return History(tuple(callers.records), tuple(runs)), started_ms
+
+    def due_per_s(self) -> float:
+        """Return what the deepest service can serve, or the demand."""
+        profile = self.deep
+        instances = sum(
+            node.service == profile.service for node in self.layout.nodes
+        )
+        time_s = profile.service_ms * self.trigger.slowdown / _MS_PER_S
+        capacity_per_s = profile.slots * instances / time_s
+        return min(capacity_per_s, self._rate_per_s * self.trigger.demand)
+
+    async def _send(self, fleet: Fleet, callers: Callers) -> None:
+        total_s = _WARM_S + _TRIGGER_S + _AFTER_S
+        sending = asyncio.create_task(
+            callers.run(self._streams(), total_s, self._factor),
+        )
+        await asyncio.sleep(_WARM_S)
+        self._slow_down(fleet, self.trigger.slowdown)
+        await asyncio.sleep(_TRIGGER_S)
+        self._slow_down(fleet, 1)
+        await sending
+        await callers.close()
+
+    def _slow_down(self, fleet: Fleet, factor: float) -> None:
+        for target in fleet.targets.values():
+            if target.profile.service == self.deep.service:
+                target.profile.slowdown = factor
+
+    def _factor(self, stream: Stream, due_s: float) -> float:
+        if not _WARM_S <= due_s < _WARM_S + _TRIGGER_S:
+            return 1
+        loudest = self.layout.organisations[0].name
+        loud = self.trigger.loud if stream.organisation == loudest else 1
+        return self.trigger.demand * loud
+
+    def _streams(self) -> list[Stream]:
+        return organisation_streams(
+            self.layout,
+            self._rate_per_s,
+            self.trigger.client_retries,
+        )
+
+
+def organisation_streams(
+    layout: Layout,
+    rate_per_s: float,
+    client_retries: int = 0,
+) -> list[Stream]:
+    """Return lookups and bookings of every organisation, by its rate."""
+    total = sum(plan.rate_per_s for plan in layout.organisations)
+    streams: list[Stream] = []
+    for plan in layout.organisations:
+        part = rate_per_s * plan.rate_per_s / total
+        streams.extend(
+            Stream(
+                organisation=plan.name,
+                key=plan.key,
+                service='orders',
+                method=method,
+                path=path,
+                importance=importance,
+                rate_per_s=part * weight,
+                timeout_ms=1000,
+                entries=layout.entries(),
+                client_retries=client_retries,
+                keyed=method == 'POST',
+            )
+            for method, path, importance, weight in (
+                ('GET', '/lookup', 3, 0.8),
+                ('POST', '/confirm', _IMPORTANT, 0.2),
+            )
+        )
+    return streams
+
+
+def _print(run: _Run, head: str, history: History) -> None:
+    calls = run.phase.calls(history)
+    goodput = measures.goodput_per_s(history, run.phase)
+    shares = measures.served_shares(calls)
+    worst = min(shares, key=lambda name: shares[name])
+    recovery = measures.recovery_ms(history.calls, run.phase.end_ms)
+    reasons = collections.Counter(call.reason for call in calls if call.reason)
+    sys.stdout.write(
+        f'{head} goodput_per_s={goodput:.1f} '
+        f'of_due={goodput / run.due_per_s():.2f} recovery_ms={recovery:.0f} '
+        f'important={measures.importance_share(calls, _IMPORTANT):.3f} '
+        f'worst={worst}:{shares[worst]:.2f} '
+        f'wasted={measures.wasted_part(history):.2f} '
+        f'deep_runs={measures.runs_per_call(history, run.deep.service):.2f} '
+        f'refused_by_rate={reasons["rate"]}\n',
+    )
+    sys.stdout.flush()
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/measures.py
@@ -0,0 +1,98 @@
+"""Measures of a run, from the records of callers and targets."""
+
+import collections
+import dataclasses
+from collections.abc import Sequence
+
+from chivelead_standins._internal.records import CallRecord, History
+
+_WINDOW_MS = 500
+_STEP_MS = 100
+_RECOVERED = 0.9
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Phase:
+    """A span of time of a run, by the clock of the loop."""
+
+    start_ms: float
+    end_ms: float
+
+    def calls(self, history: History) -> list[CallRecord]:
+        """Return the calls that were sent in the phase."""
+        return [
+            call
+            for call in history.calls
+            if self.start_ms <= call.sent_ms < self.end_ms
+        ]
+
+
+def goodput_per_s(history: History, phase: Phase) -> float:
+    """Return the whole answers in time for calls sent in a phase."""
+    whole = sum(call.whole for call in phase.calls(history))
+    return whole * _MS_PER_S / (phase.end_ms - phase.start_ms)
+
+
+def recovery_ms(calls: Sequence[CallRecord], ended_ms: float) -> float:
+    """Return when nine of ten requests were served again, and stayed so.
+
+    Args:
+        calls: All calls of the run.
+        ended_ms: When the trigger of the overload ended.
+
+    Returns:
+        Infinity if they never were.
+    """
+    last_ms = max(call.sent_ms for call in calls) - _WINDOW_MS
+    recovered_ms = float('inf')
+    start_ms = last_ms
+    while start_ms >= ended_ms:
+        window = [
+            call.whole
+            for call in calls
+            if start_ms <= call.sent_ms < start_ms + _WINDOW_MS
+        ]
+        if window and sum(window) < _RECOVERED * len(window):
+            break
+        recovered_ms = start_ms - ended_ms
+        start_ms -= _STEP_MS
+    return recovered_ms
+
+
+def served_shares(calls: Sequence[CallRecord]) -> dict[str, float]:
+    """Return the part of its calls that each organisation was served."""
+    sent: collections.Counter[str] = collections.Counter()
+    served: collections.Counter[str] = collections.Counter()
+    for call in calls:
+        sent[call.organisation] += 1
+        served[call.organisation] += call.whole
+    return {name: served[name] / sent[name] for name in sorted(sent)}
+
+
+def importance_share(calls: Sequence[CallRecord], importance: int) -> float:
+    """Return the part of the calls of an importance that were served."""
+    chosen = [call.whole for call in calls if call.importance == importance]
+    return sum(chosen) / len(chosen) if chosen else 1
+
+
+def wasted_part(history: History) -> float:
+    """Return the part of the targets' time spent for calls that failed."""
+    whole = {call.trace for call in history.calls if call.whole}
+    total = 0.0
+    wasted = 0.0
+    for run in history.runs:
+        if run.trace and run.ended_ms:
+            time_ms = run.ended_ms - run.started_ms
+            total += time_ms
+            if run.trace not in whole:
+                wasted += time_ms
+    return wasted / total if total else 0
+
+
+def runs_per_call(history: History, service: str) -> float:
+    """Return the runs at a service for each call that was sent."""
+    runs = sum(
+        run.service == service and bool(run.trace) for run in history.runs
+    )
+    return runs / len(history.calls)
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/plots.py
@@ -0,0 +1,57 @@
+"""Time lines of experiments as pictures."""
+
+import collections
+import dataclasses
+import pathlib
+from collections.abc import Sequence
+
+import matplotlib as mpl
+
+from chivelead_standins._internal.records import History
+
+mpl.use('Agg')
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Curve:
+    """The goodput of one policy over time."""
+
+    policy: str
+    history: History
+    started_ms: float
+
+
+def draw_timeline(
+    path: pathlib.Path,
+    title: str,
+    curves: Sequence[Curve],
+    trigger_s: tuple[float, float],
+) -> None:
+    """Write the goodput of several policies over time.
+
+    Args:
+        path: Picture, SVG or PNG by its ending.
+        title: Name of the scenario.
+        curves: One for each policy.
+        trigger_s: Start and end of the trigger.
+    """
+    figure, axes = plt.subplots(figsize=(9, 4))
+    axes.axvspan(*trigger_s, color='0.9', label='trigger')
+    for curve in curves:
+        by_second: collections.Counter[int] = collections.Counter()
+        for call in curve.history.calls:
+            second = int((call.sent_ms - curve.started_ms) // _MS_PER_S)
+            by_second[second] += call.whole
+        seconds = range(max(by_second) + 1)
+        heights = [by_second[second] for second in seconds]
+        axes.plot(seconds, heights, label=curve.policy)
+    axes.set_xlabel('time of sending, s')
+    axes.set_ylabel('whole answers in time, 1/s')
+    axes.set_title(title)
+    axes.legend()
+    figure.savefig(path)
+    plt.close(figure)
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -193,3 +193,24 @@
     assert expected in output
     assert str(path) in output
     assert output.count('\n') == 1
+
+
+async def test_port_in_use_is_named(tmp_path):
+    layout = plan_layout(small_layout())
+    node = layout.nodes[0]
+    server = await asyncio.start_server(
+        lambda reader, writer: None,
+        '127.0.0.1',
+        node.peer_port,
+    )
+    path = tmp_path / 'node.ini'
+    path.write_text(node_settings(node, layout, {}))
+    status, output = await run_command(
+        '-m',
+        'chivelead_node',
+        '--settings',
+        str(path),
+    )
+    server.close()
+    assert status == 2
+    assert '[node] peer_port: expected a port that is free' in output
