Shed from the least important up, and let a warm limit grow

Two faults in the reading of the code, each with a test now: one refusal of an important call set the shed level to its class, so that callers' nodes shed every call below it for 0.4 s; and the limit of a lightly loaded target stayed at a quarter of its slots.

Ruled out: routing (each instance got a quarter), the target's own shedding (its waiting room was never full).

Change: the shed level is where the admitted number would end if the most important went first; a limit that no shedding has bounded grows with every success; refusals for the deadline no longer count as overload. A bare relay of the same libraries for `latency`, not run yet.

--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -57,7 +57,7 @@
 
 
 class _ShedMeter:
-    """Share of requests refused of late, for each importance."""
+    """How far down in importance the admitted requests would reach."""
 
     def __init__(self) -> None:
         self._events: collections.deque[tuple[float, int, bool]] = (
@@ -77,11 +77,22 @@
             _, importance, refused = self._events.popleft()
             counts = self._refused if refused else self._admitted
             counts[importance] -= 1
+        return self._boundary()
+
+    def _boundary(self) -> float:
+        """Return where the room would end if the most important went first.
+
+        A single refusal among many calls then sheds as many calls of the
+        least importance, and not all calls below the one refused.
+        """
+        room = sum(self._admitted)
+        if not sum(self._refused):
+            return 0
         for importance in reversed(range(_LEVELS)):
-            refusals = self._refused[importance]
-            if refusals:
-                seen = refusals + self._admitted[importance]
-                return importance + refusals / seen
+            seen = self._admitted[importance] + self._refused[importance]
+            if seen > room:
+                return importance + 1 - room / seen
+            room -= seen
         return 0
 
 
@@ -131,7 +142,6 @@
             RefusedError: The request will not run at this target.
         """
         if self._is_late(applicant):
-            self._meter.note(applicant.importance, refused=True)
             raise RefusedError(RefusalReason.deadline)
         if self.in_flight < self._limit.limit and not len(self._queue):
             self._queue.charge(applicant.organisation)
--- a/packages/policy/src/chivelead_policy/_internal/limits.py
+++ b/packages/policy/src/chivelead_policy/_internal/limits.py
@@ -11,7 +11,6 @@
 _SHED_FACTOR = 0.95
 _GROWTH_PER_SUCCESS = 0.5
 _PROBE_PER_SUCCESS = 0.05
-_RESERVE_FACTOR = 1.0
 _UNBOUNDED = 1_000_000.0
 
 
@@ -105,8 +104,10 @@
             reached = min(self._limit, float(completion.in_flight))
             self._known_good = max(1.0, reached * _SHED_FACTOR)
             self._limit = self._known_good
+        elif self._limit < self._known_good:
+            self._grow(_GROWTH_PER_SUCCESS)
         elif completion.in_flight >= self._limit / 2:
-            step = _GROWTH_PER_SUCCESS
-            if self._limit >= self._known_good:
-                step = _PROBE_PER_SUCCESS / self._limit
-            self._limit = min(float(self._slots), self._limit + step)
+            self._grow(_PROBE_PER_SUCCESS / self._limit)
+
+    def _grow(self, step: float) -> None:
+        self._limit = min(float(self._slots), self._limit + step)
--- a/packages/policy/tests/unit/test_admission.py
+++ b/packages/policy/tests/unit/test_admission.py
@@ -158,3 +158,29 @@
 def test_unknown_policy_names_the_known_ones():
     with pytest.raises(ConfigurationError, match='allowance, naive, none'):
         RETRIES.find('magic')
+
+
+async def test_one_refusal_does_not_shed_all_that_is_less_important():
+    admission = make_admission(slots=20)
+    for number in range(20):
+        importance = 8 if number < 5 else 3
+        await admission.admit(
+            Applicant('mill', importance, now_ms() + 60_000),
+        )
+    order = []
+    for number in range(40):
+        asyncio.create_task(apply(admission, order, f'w{number}', 8))
+    await asyncio.sleep(0.01)
+    asyncio.create_task(apply(admission, order, 'refused', 8))
+    await asyncio.sleep(0.01)
+    assert order == ['refused:overload']
+    # 20 were admitted and one refused: one of 15 lookups would have to go.
+    assert admission.pressure().shed_level == pytest.approx(3 + 1 / 15)
+
+
+async def test_warm_target_gets_its_slots_back_under_light_load():
+    limit = LIMITS.find('adaptive')()
+    limit.announce(10)
+    for _ in range(20):
+        limit.complete(_busy(1))
+    assert limit.limit == 10
--- a/packages/standins/src/chivelead_standins/_internal/commands/latency.py
+++ b/packages/standins/src/chivelead_standins/_internal/commands/latency.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import configparser
+import dataclasses
+import itertools
 import statistics
 import sys
 from collections.abc import Sequence
@@ -10,7 +12,11 @@
 
 from chivelead_standins._internal.caller import Callers, Stream
 from chivelead_standins._internal.fleet import Fleet
-from chivelead_standins._internal.layout import plan_layout
+from chivelead_standins._internal.layout import (
+    NodePlan,
+    free_ports,
+    plan_layout,
+)
 from chivelead_standins._internal.usage import processor_ticks, ticks_per_s
 
 _LAYOUT = """
@@ -49,6 +55,24 @@
 """
 _HUNDREDTHS = 100
 _MS_PER_S = 1000
+_RELAY_START_S = 6
+
+
+@dataclasses.dataclass(frozen=True)
+class _RelayPorts:
+    """Ports of the two halves of the bare relay."""
+
+    front: int
+    back: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What is sent over each path."""
+
+    rate_per_s: int
+    duration_s: float
+    seed: int
 
 
 def latency(
@@ -59,11 +83,12 @@
 ) -> None:
     """Measure the time added by nodes, against calls without them.
 
-    For each rate, calls go straight to the target, through the node of the
-    target, and through another node, all in the same run.
+    For each rate, calls go straight to the target, through a relay of the
+    same libraries without decisions, through the node of the target, and
+    through another node, all in the same run.
 
     Args:
-        rates_per_s: Rates of each of the three streams.
+        rates_per_s: Rates of each of the four streams.
         duration_s: Time at each rate.
         seed: Seed of the arrival times.
     """
@@ -79,44 +104,71 @@
     parser.read_string(_LAYOUT)
     layout = plan_layout(parser)
     fleet = Fleet(layout, targets_here=False)
-    targets = []
+    relay = _RelayPorts(*itertools.islice(free_ports(), 2))
+    processes: list[asyncio.subprocess.Process] = []
     try:
         for node in layout.nodes:
-            targets.append(
-                await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    '-m',
-                    'chivelead_standins',
-                    'target',
-                    '--service',
-                    node.service,
-                    '--port',
-                    str(node.target_port),
-                    '--local-port',
-                    str(node.local_port),
-                ),
-            )
+            processes.append(await _start_target(node))
+        processes.extend(await _start_relay(relay, layout.nodes[-1]))
         await fleet.start()
         for rate_per_s in rates_per_s:
-            await _measure_rate(fleet, rate_per_s, duration_s, seed)
+            await _measure_rate(
+                fleet,
+                relay,
+                Load(rate_per_s, duration_s, seed),
+            )
     finally:
-        for process in targets:
+        for process in processes:
             process.kill()
             await process.wait()
         await fleet.close()
 
 
+async def _start(*arguments: object) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'chivelead_standins',
+        *map(str, arguments),
+    )
+
+
+async def _start_target(node: NodePlan) -> asyncio.subprocess.Process:
+    return await _start(
+        'target',
+        '--service',
+        node.service,
+        '--port',
+        node.target_port,
+        '--local-port',
+        node.local_port,
+    )
+
+
+async def _start_relay(
+    relay: _RelayPorts,
+    node: NodePlan,
+) -> tuple[asyncio.subprocess.Process, ...]:
+    """Start the two halves of the bare relay to a node's target."""
+    ports = ('relay', '--back-port', relay.back)
+    back = await _start(*ports, '--target-port', node.target_port)
+    # The front half connects once the back half listens.
+    await asyncio.sleep(_RELAY_START_S)
+    front = await _start(*ports, '--front-port', relay.front)
+    return back, front
+
+
 async def _measure_rate(
     fleet: Fleet,
-    rate_per_s: int,
-    duration_s: float,
-    seed: int,
+    relay: _RelayPorts,
+    load: Load,
 ) -> None:
     layout = fleet.layout
     front, back = layout.nodes
     organisation = layout.organisations[0]
     places = {
         'direct': f'http://127.0.0.1:{back.target_port}',
+        'bare-relay': f'http://127.0.0.1:{relay.front}',
         'one-node': f'http://127.0.0.1:{back.caller_port}',
         'two-nodes': f'http://127.0.0.1:{front.caller_port}',
     }
@@ -128,18 +180,18 @@
             method='GET',
             path='/any',
             importance=5,
-            rate_per_s=rate_per_s,
+            rate_per_s=load.rate_per_s,
             timeout_ms=2000,
             entries=(entry,),
         )
         for name, entry in places.items()
     ]
-    callers = Callers(seed)
+    callers = Callers(load.seed)
     await callers.start()
     await callers.run(streams, 2)
     callers.records.clear()
     before = _cpu_ms(fleet)
-    await callers.run(streams, duration_s)
+    await callers.run(streams, load.duration_s)
     await callers.close()
     used = {vm: time_ms - before[vm] for vm, time_ms in _cpu_ms(fleet).items()}
     times = {
@@ -150,12 +202,12 @@
         )
         for name in places
     }
-    _report(rate_per_s, times)
+    _report(load.rate_per_s, times)
     # The back node serves both streams, the front node one of them.
     front_ms = used[front.vm] / len(times['two-nodes'])
     back_calls = len(times['two-nodes']) + len(times['one-node'])
     sys.stdout.write(
-        f'rate_per_s={rate_per_s} front_cpu_ms_per_call={front_ms:.2f} '
+        f'rate_per_s={load.rate_per_s} front_cpu_ms_per_call={front_ms:.2f} '
         f'back_cpu_ms_per_call={used[back.vm] / back_calls:.2f}\n',
     )
 
--- /dev/null
+++ b/packages/standins/src/chivelead_standins/_internal/commands/relay.py
@@ -0,0 +1,88 @@
+"""Command ``relay``: the libraries of the path with no decisions in them.
+
+It tells the least time that HTTP in, a websocket with CBOR, and HTTP out can
+add on a machine; the nodes are measured beside it.
+"""
+
+import asyncio
+import itertools
+
+import aiohttp
+import cbor2
+import uvloop
+from aiohttp import web
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import ServerConnection, serve
+
+_HOST = '127.0.0.1'
+
+
+def relay(*, front_port: int = 0, back_port: int, target_port: int = 0) -> None:
+    """Run one half of a bare relay until it is ended.
+
+    Args:
+        front_port: Listen for HTTP here and send to the back half.
+        back_port: Port of the back half.
+        target_port: Be the back half and call the target at this port.
+    """
+    if target_port:
+        uvloop.run(_run_back(back_port, target_port))
+    else:
+        uvloop.run(_run_front(front_port, back_port))
+
+
+async def _run_back(back_port: int, target_port: int) -> None:
+    async with aiohttp.ClientSession(auto_decompress=False) as session:
+
+        async def answer(link: ServerConnection, raw: bytes) -> None:
+            number, path = cbor2.loads(raw)
+            url = f'http://{_HOST}:{target_port}{path}'
+            async with session.get(url) as response:
+                body = await response.read()
+            await link.send(cbor2.dumps([number, response.status, body]))
+
+        async def serve_link(link: ServerConnection) -> None:
+            tasks = set()
+            async for raw in link:
+                if isinstance(raw, str):
+                    raise TypeError('a text frame')
+                task = asyncio.create_task(answer(link, raw))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+
+        async with serve(serve_link, _HOST, back_port, compression=None):
+            await asyncio.Event().wait()
+
+
+class _Front:
+    """The half that callers reach."""
+
+    def __init__(self, link: ClientConnection) -> None:
+        self._link = link
+        self._numbers = itertools.count(1)
+        self._replies: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
+
+    async def receive(self) -> None:
+        async for raw in self._link:
+            if isinstance(raw, str):
+                raise TypeError('a text frame')
+            number, status, body = cbor2.loads(raw)
+            self._replies.pop(number).set_result((status, body))
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        number = next(self._numbers)
+        reply = asyncio.get_running_loop().create_future()
+        self._replies[number] = reply
+        await self._link.send(cbor2.dumps([number, request.path_qs]))
+        status, body = await reply
+        return web.Response(status=status, body=body)
+
+
+async def _run_front(front_port: int, back_port: int) -> None:
+    link = await connect(f'ws://{_HOST}:{back_port}', compression=None)
+    front = _Front(link)
+    receiving = asyncio.create_task(front.receive())
+    runner = web.ServerRunner(web.Server(front.answer, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, _HOST, front_port).start()
+    await receiving
