Shorten the admission queue, need more time left, and do not herd

Change: half a waiter a slot; a call needs the mean and 1.5 deviations of time left; when no target has room the better of two random ones is taken.

--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -14,8 +14,9 @@
     WaitQueue,
 )
 
-_QUEUE_PER_SLOT = 2
-_QUEUE_LEAST = 8
+_QUEUE_PER_SLOT = 0.5
+_QUEUE_LEAST = 4
+_DEVIATIONS = 1.5
 _LATENCY_WEIGHT = 0.1
 _SHED_WINDOW_MS = 400
 _LEVELS = 10
@@ -119,7 +120,7 @@
         self._queue = queue
         self._shed_late = shed_late
         self._meter = _ShedMeter()
-        self._turn_ms = 0.0
+        self._deviation_ms = 0.0
 
     def announce(self, slots: int) -> None:
         """Take in the slots that the target claims."""
@@ -157,6 +158,9 @@
             gap_ms = completion.latency_ms - self.latency_ms
             weight = _LATENCY_WEIGHT if self.latency_ms else 1
             self.latency_ms += gap_ms * weight
+            if weight < 1:
+                spread_ms = abs(gap_ms) - self._deviation_ms
+                self._deviation_ms += spread_ms * weight
         self._wake()
 
     async def _wait(self, applicant: Applicant) -> None:
@@ -171,7 +175,7 @@
         self._queue.push(waiter)
         latest_ms = applicant.deadline_ms
         if self._shed_late:
-            latest_ms -= self.latency_ms
+            latest_ms -= self._time_needed_ms()
         try:
             async with asyncio.timeout_at(latest_ms / 1000):  # noqa: WPS432
                 await waiter.admitted
@@ -215,7 +219,6 @@
             if waiter.admitted.done():
                 continue
             waiter.admitted.set_result(None)
-            self._turn_ms = now_ms() - waiter.arrival_ms
             self._start(waiter.importance)
 
     def _start(self, importance: int) -> None:
@@ -229,7 +232,11 @@
         if not self._shed_late:
             return False
         wait_ms = self._wait_estimate_ms(applicant.importance)
-        return wait_ms + self.latency_ms > left_ms
+        return wait_ms + self._time_needed_ms() > left_ms
+
+    def _time_needed_ms(self) -> float:
+        """Return the time that most requests take at the target."""
+        return self.latency_ms + _DEVIATIONS * self._deviation_ms
 
     def _wait_estimate_ms(self, importance: int) -> float:
         ahead = self._queue.ahead_of(importance)
--- a/packages/policy/src/chivelead_policy/_internal/routing.py
+++ b/packages/policy/src/chivelead_policy/_internal/routing.py
@@ -80,7 +80,8 @@
             ]
             if near:
                 return self._better_of_two(near)
-        return min(candidates, key=lambda candidate: candidate.score)
+        # Reports lag: the least loaded of all would get every call at once.
+        return self._better_of_two(list(candidates))
 
     def _better_of_two(self, near: list[Candidate]) -> Candidate:
         if len(near) > 2:
