Run the stand-in store as a process; let the bare relay pass checksums

Cause: `latency` ended with an error: answers of the bare relay lacked the checksum header, so none counted as whole.

Change: the relay passes trace and checksum; `chivelead-standins store`, with a functional test that sets a fault.

--- a/packages/standins/src/chivelead_standins/_internal/commands/relay.py
+++ b/packages/standins/src/chivelead_standins/_internal/commands/relay.py
@@ -14,6 +14,11 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import ServerConnection, serve
 
+from chivelead_standins._internal.target_server import (
+    CHECKSUM_HEADER,
+    TRACE_HEADER,
+)
+
 _HOST = '127.0.0.1'
 
 
@@ -35,11 +40,13 @@
     async with aiohttp.ClientSession(auto_decompress=False) as session:
 
         async def answer(link: ServerConnection, raw: bytes) -> None:
-            number, path = cbor2.loads(raw)
+            number, path, trace = cbor2.loads(raw)
             url = f'http://{_HOST}:{target_port}{path}'
-            async with session.get(url) as response:
+            headers = {TRACE_HEADER: trace}
+            async with session.get(url, headers=headers) as response:
                 body = await response.read()
-            await link.send(cbor2.dumps([number, response.status, body]))
+                checksum = response.headers.get(CHECKSUM_HEADER, '')
+            await link.send(cbor2.dumps([number, checksum, body]))
 
         async def serve_link(link: ServerConnection) -> None:
             tasks = set()
@@ -60,22 +67,23 @@
     def __init__(self, link: ClientConnection) -> None:
         self._link = link
         self._numbers = itertools.count(1)
-        self._replies: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
+        self._replies: dict[int, asyncio.Future[tuple[str, bytes]]] = {}
 
     async def receive(self) -> None:
         async for raw in self._link:
             if isinstance(raw, str):
                 raise TypeError('a text frame')
-            number, status, body = cbor2.loads(raw)
-            self._replies.pop(number).set_result((status, body))
+            number, checksum, body = cbor2.loads(raw)
+            self._replies.pop(number).set_result((checksum, body))
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
         number = next(self._numbers)
         reply = asyncio.get_running_loop().create_future()
         self._replies[number] = reply
-        await self._link.send(cbor2.dumps([number, request.path_qs]))
-        status, body = await reply
-        return web.Response(status=status, body=body)
+        trace = request.headers.get(TRACE_HEADER, '')
+        await self._link.send(cbor2.dumps([number, request.path_qs, trace]))
+        checksum, body = await reply
+        return web.Response(body=body, headers={CHECKSUM_HEADER: checksum})
 
 
 async def _run_front(front_port: int, back_port: int) -> None:
--- a/packages/standins/src/chivelead_standins/_internal/main.py
+++ b/packages/standins/src/chivelead_standins/_internal/main.py
@@ -8,9 +8,12 @@
 from chivelead_standins._internal.commands.latency import latency
 from chivelead_standins._internal.commands.prove import prove
 from chivelead_standins._internal.commands.relay import relay
+from chivelead_standins._internal.commands.store import store
 from chivelead_standins._internal.commands.target import target
 
 
 def main() -> None:
     """Entry point of ``chivelead-standins``."""
-    defopt.run([capacity, demo, experiment, latency, prove, relay, target])
+    defopt.run(
+        [capacity, demo, experiment, latency, prove, relay, store, target]
+    )
--- a/tests/functional/test_silence.py
+++ b/tests/functional/test_silence.py
@@ -1,7 +1,10 @@
 """Connections that go silent for good are given up and replaced."""
 
 import asyncio
+import sys
 
+import aiohttp
+import pytest
 from chivelead_coordination import HttpStore, Write
 from chivelead_protocol import (
     HybridClock,
@@ -10,6 +13,7 @@
     PeerServer,
     Pong,
     StatusQuery,
+    StoreConflictError,
     StoreUnavailableError,
     now_ms,
 )
@@ -74,3 +78,38 @@
     await again.close()
     await proxy.close()
     await server.close()
+
+
+async def test_store_runs_as_a_process_with_faults():
+    port = next(free_ports())
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'chivelead_standins',
+        'store',
+        '--port',
+        str(port),
+    )
+    url = f'http://{HOST}:{port}'
+    store = HttpStore(url, 5000)
+    await store.start()
+    async with asyncio.timeout(60), aiohttp.ClientSession() as session:
+        while not await is_up(store):
+            await asyncio.sleep(0.1)
+        await store.write(Write('key', 'text', 0))
+        with pytest.raises(StoreConflictError):
+            await store.write(Write('key', 'other', 0))
+        async with session.post(f'{url}/control', json={'down': True}):
+            assert not await is_up(store)
+    await store.close()
+    process.kill()
+    await process.wait()
+
+
+async def is_up(store):
+    """Tell whether the store answers."""
+    try:
+        await store.read('key')
+    except StoreUnavailableError:
+        return False
+    return True
