--- a/packages/config/src/chivelead_config/_internal/documents.py
+++ b/packages/config/src/chivelead_config/_internal/documents.py
@@ -102,7 +102,7 @@
 
     objective: str = optional(
         'goodput',
-        'What admission favours under overload.',
+        'What admission favours under overload; no effect yet.',
         choices=('goodput', 'fairness'),
     )
     staleness_limit_s: int = optional(
@@ -119,7 +119,7 @@
     )
     region_link_kbit_per_s: int = optional(
         30000,
-        'Capacity of the link between regions, each way.',
+        'Capacity of the link between regions; no effect yet.',
         low=1,
         high=100_000_000,
     )
