--- a/packages/node/src/chivelead_node/_internal/entry.py
+++ b/packages/node/src/chivelead_node/_internal/entry.py
@@ -2,19 +2,15 @@
 
 import asyncio
 import hashlib
-import json
 import secrets
-from collections.abc import Iterable
 
 from aiohttp import web
-from chivelead_config import DocumentSet, Route, key_digest
+from chivelead_config import DocumentSet
 from chivelead_coordination import GuardClient, RateLimiter, key_of
 from chivelead_protocol import (
     CallReply,
     ChiveleadError,
     GuardVerdict,
-    Headers,
-    Outcome,
     now_ms,
 )
 
@@ -23,43 +19,28 @@
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.metrics import Metrics
 from chivelead_node._internal.outbound import OutboundCalls
-
-_ID_BYTES = 8
-_MS_PER_S = 1000
-_BODY_TIMEOUT_S = 10
-_KEY_LENGTH_MOST = 512
-_IDEMPOTENCY_LENGTH_MOST = 256
-_TIMEOUT_HIGH_MS = 600_000
-_DROPPED_REQUEST_HEADERS = frozenset(
-    (
-        'host',
-        'connection',
-        'keep-alive',
-        'proxy-authorization',
-        'authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'content-length',
-        'upgrade',
-        'expect',
-        'chivelead-token',
-        'chivelead-timeout-ms',
-        'chivelead-request-id',
-        'chivelead-organisation',
-        'chivelead-outcome',
-    ),
+from chivelead_node._internal.requests import (
+    authenticate,
+    find_route,
+    forwarded_headers,
+    read_body,
+    time_allowed_ms,
+)
+from chivelead_node._internal.responses import (
+    answer_response,
+    problem_response,
+    recorded_reply,
 )
+
 _BAD_REQUEST = 400
 _UNAUTHORISED = 401
 _NOT_FOUND = 404
-_REQUEST_TIMEOUT = 408
-_CONFLICT = 409
-_TOO_LARGE = 413
-_UNPROCESSABLE = 422
 _TOO_MANY = 429
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
+_MS_PER_S = 1000
+_ID_BYTES = 8
+_IDEMPOTENCY_LENGTH_MOST = 256
 
 
 class Entry:
@@ -127,9 +108,9 @@
             else:
                 reply = await self._run_root(request, request_id)
         except calls.RefusedCallError as error:
-            response = _problem(error.refusal, request_id)
+            response = problem_response(error.refusal, request_id)
         else:
-            response = _response(reply, request_id)
+            response = answer_response(reply, request_id)
         finally:
             self.in_flight -= 1
         self._metrics.timing('call', now_ms() - started_ms)
@@ -145,11 +126,11 @@
     ) -> CallReply:
         arrived_ms = now_ms()
         documents, service, path = self._locate(request)
-        route = _find_route(documents, service, request.method, path)
-        organisation = _authenticate(documents, route, request)
+        route = find_route(documents, service, request.method, path)
+        organisation = authenticate(documents, route, request)
         self._check_staleness(documents, service)
-        deadline_ms = arrived_ms + _timeout_ms(request, route)
-        body = await self._read_body(request)
+        deadline_ms = arrived_ms + time_allowed_ms(request, route)
+        body = await read_body(request, self._body_limit)
         self._events.call(
             'arrived',
             request_id,
@@ -164,7 +145,7 @@
             service=service,
             route=route,
             path=path,
-            headers=_forwarded(request),
+            headers=forwarded_headers(request),
             body=body,
             organisation=organisation,
             importance=route.importance,
@@ -179,10 +160,10 @@
         if parent is None:
             return await self._run_open(request)
         documents, service, path = self._locate(request)
-        route = _find_route(documents, service, request.method, path)
+        route = find_route(documents, service, request.method, path)
         deadline_ms = min(
             parent.deadline_ms,
-            now_ms() + _timeout_ms(request, route),
+            now_ms() + time_allowed_ms(request, route),
         )
         if deadline_ms <= now_ms():
             raise calls.refused(
@@ -195,8 +176,8 @@
             service=service,
             route=route,
             path=path,
-            headers=_forwarded(request),
-            body=await self._read_body(request),
+            headers=forwarded_headers(request),
+            body=await read_body(request, self._body_limit),
             organisation=parent.organisation,
             importance=parent.importance,
             deadline_ms=deadline_ms,
@@ -207,7 +188,7 @@
     async def _run_open(self, request: web.BaseRequest) -> CallReply:
         """Run a target's call without a token: only on an open route."""
         documents, service, path = self._locate(request)
-        route = _find_route(documents, service, request.method, path)
+        route = find_route(documents, service, request.method, path)
         if not route.open:
             raise calls.refused(
                 _UNAUTHORISED,
@@ -235,7 +216,7 @@
         claim_id = secrets.token_hex(_ID_BYTES)
         verdict = await self._ask_guard(call, digest, claim_id)
         if verdict.decision != 'run':
-            return _recorded(verdict)
+            return recorded_reply(verdict)
         # The run goes on when the caller has gone, so that the guard learns
         # how it ended and can tell a caller that sends the key again.
         running = asyncio.create_task(
@@ -334,195 +315,3 @@
                 'the organisation has used up its rate and burst',
                 retry_after_ms=retry_after_ms,
             )
-
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        if not request.can_read_body:
-            return b''
-        if (request.content_length or 0) > self._body_limit:
-            raise _too_large(self._body_limit)
-        try:
-            async with asyncio.timeout(_BODY_TIMEOUT_S):
-                return await self._read_chunks(request)
-        except TimeoutError as error:
-            raise calls.refused(
-                _REQUEST_TIMEOUT,
-                'slow-body',
-                'the body did not come in time',
-            ) from error
-
-    async def _read_chunks(self, request: web.BaseRequest) -> bytes:
-        chunks = []
-        size = 0
-        async for chunk in request.content.iter_any():
-            size += len(chunk)
-            if size > self._body_limit:
-                raise _too_large(self._body_limit)
-            chunks.append(chunk)
-        return b''.join(chunks)
-
-
-def _find_route(
-    documents: DocumentSet,
-    service: str,
-    method: str,
-    path: str,
-) -> Route:
-    bare_path = path.partition('?')[0]
-    route = documents.services[service].find_route(method, bare_path)
-    if route is None:
-        raise calls.refused(
-            _NOT_FOUND,
-            'unknown-route',
-            f'{service} declares no such route',
-        )
-    return route
-
-
-def _authenticate(
-    documents: DocumentSet,
-    route: Route,
-    request: web.BaseRequest,
-) -> str:
-    """Return the organisation of the key; empty on an open route."""
-    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
-    key = key.strip()
-    if not key and route.open:
-        return ''
-    organisation = None
-    if scheme.lower() == 'bearer' and 0 < len(key) <= _KEY_LENGTH_MOST:
-        organisation = documents.organisations_by_digest.get(key_digest(key))
-    if organisation is None:
-        raise calls.refused(
-            _UNAUTHORISED,
-            'bad-key',
-            'the key is missing, unknown or withdrawn',
-        )
-    if key in request.path_qs:
-        raise calls.refused(
-            _BAD_REQUEST,
-            'key-in-url',
-            'send the key in the Authorization header only',
-        )
-    return organisation
-
-
-def _timeout_ms(request: web.BaseRequest, route: Route) -> float:
-    text = request.headers.get(calls.HEADER_TIMEOUT)
-    if text is None:
-        return route.timeout_ms
-    try:
-        timeout_ms = float(text)
-    except ValueError:
-        timeout_ms = float('nan')
-    if not -_TIMEOUT_HIGH_MS <= timeout_ms <= _TIMEOUT_HIGH_MS:
-        raise calls.refused(
-            _BAD_REQUEST,
-            'bad-timeout',
-            f'{calls.HEADER_TIMEOUT}: expected a number of milliseconds',
-        )
-    if timeout_ms <= 0:
-        raise calls.refused(
-            _GATEWAY_TIMEOUT,
-            'deadline',
-            'the deadline has passed',
-        )
-    return min(timeout_ms, route.timeout_ms)
-
-
-def _forwarded(request: web.BaseRequest) -> Headers:
-    """Return the headers for the target; none of them holds the key."""
-    key = request.headers.get('Authorization', '').partition(' ')[2].strip()
-    return tuple(
-        (name, text)
-        for name, text in request.headers.items()
-        if name.lower() not in _DROPPED_REQUEST_HEADERS
-        and not (key and key in text)
-    )
-
-
-def _too_large(limit_bytes: int) -> calls.RefusedCallError:
-    return calls.refused(
-        _TOO_LARGE,
-        'body-too-large',
-        f'a body has at most {limit_bytes} bytes',
-    )
-
-
-def _recorded(verdict: GuardVerdict) -> CallReply:
-    """Return what is known of a call that was sent before."""
-    if verdict.answer is not None:
-        return verdict.answer
-    reasons = {
-        'pending': (_CONFLICT, 'in-progress', Outcome.unknown),
-        'done': (_CONFLICT, 'done-before', Outcome.done),
-        'unknown': (_CONFLICT, 'outcome-unknown', Outcome.unknown),
-        'mismatch': (_UNPROCESSABLE, 'key-reused', Outcome.not_run),
-    }
-    status, reason, outcome = reasons[verdict.decision]
-    return calls.refusal_reply(
-        calls.Refusal(
-            status,
-            reason,
-            outcome,
-            'a request with this idempotency key was sent before',
-        ),
-    )
-
-
-def _response(reply: CallReply, request_id: str) -> web.Response:
-    if reply.reason:
-        return _problem(
-            calls.Refusal(
-                reply.status,
-                reply.reason,
-                Outcome(reply.outcome),
-                reply.body.decode(errors='replace'),
-                _retry_hint_ms(reply),
-            ),
-            request_id,
-        )
-    response = web.Response(status=reply.status, body=reply.body)
-    _add_headers(response, reply.headers)
-    response.headers[calls.HEADER_OUTCOME] = reply.outcome
-    response.headers[calls.HEADER_REQUEST_ID] = request_id
-    return response
-
-
-def _retry_hint_ms(reply: CallReply) -> float:
-    return _MS_PER_S if reply.status == _UNAVAILABLE else 0
-
-
-def _add_headers(
-    response: web.Response,
-    headers: Iterable[tuple[str, str]],
-) -> None:
-    response.headers.popall('Content-Type', None)
-    for name, text in headers:
-        response.headers.add(name, text)
-
-
-def _problem(refusal: calls.Refusal, request_id: str) -> web.Response:
-    """Return a refusal as problem+json (RFC 9457)."""
-    document = {
-        'type': f'urn:chivelead:{refusal.reason}',
-        'title': refusal.reason,
-        'status': refusal.status,
-        'detail': refusal.detail,
-        'outcome': refusal.outcome,
-        'request_id': request_id,
-    }
-    headers = {
-        calls.HEADER_OUTCOME: str(refusal.outcome),
-        calls.HEADER_REQUEST_ID: request_id,
-    }
-    if refusal.retry_after_ms > 0:
-        wait_s = -(-refusal.retry_after_ms // _MS_PER_S)
-        headers['Retry-After'] = f'{wait_s:.0f}'
-    if refusal.status == _UNAUTHORISED:
-        headers['WWW-Authenticate'] = 'Bearer'
-    return web.Response(
-        status=refusal.status,
-        body=json.dumps(document).encode(),
-        headers=headers,
-        content_type='application/problem+json',
-    )
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/requests.py
@@ -0,0 +1,173 @@
+"""What a node reads from the HTTP requests of callers and targets."""
+
+import asyncio
+
+from aiohttp import web
+from chivelead_config import DocumentSet, Route, key_digest
+from chivelead_protocol import Headers
+
+from chivelead_node._internal import calls
+
+_BAD_REQUEST = 400
+_UNAUTHORISED = 401
+_NOT_FOUND = 404
+_REQUEST_TIMEOUT = 408
+_TOO_LARGE = 413
+_GATEWAY_TIMEOUT = 504
+_BODY_TIMEOUT_S = 10
+_KEY_LENGTH_MOST = 512
+_TIMEOUT_HIGH_MS = 600_000
+_DROPPED_REQUEST_HEADERS = frozenset(
+    (
+        'host',
+        'connection',
+        'keep-alive',
+        'proxy-authorization',
+        'authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'content-length',
+        'upgrade',
+        'expect',
+        'chivelead-token',
+        'chivelead-timeout-ms',
+        'chivelead-request-id',
+        'chivelead-organisation',
+        'chivelead-outcome',
+    ),
+)
+
+
+def find_route(
+    documents: DocumentSet,
+    service: str,
+    method: str,
+    path: str,
+) -> Route:
+    """Return the route of a request.
+
+    Raises:
+        RefusedCallError: The service declares none.
+    """
+    bare_path = path.partition('?')[0]
+    route = documents.services[service].find_route(method, bare_path)
+    if route is None:
+        raise calls.refused(
+            _NOT_FOUND,
+            'unknown-route',
+            f'{service} declares no such route',
+        )
+    return route
+
+
+def authenticate(
+    documents: DocumentSet,
+    route: Route,
+    request: web.BaseRequest,
+) -> str:
+    """Return the organisation of the key; empty on an open route.
+
+    Raises:
+        RefusedCallError: The key is missing, unknown or withdrawn, or stands
+            in the URL.
+    """
+    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
+    key = key.strip()
+    if not key and route.open:
+        return ''
+    organisation = None
+    if scheme.lower() == 'bearer' and 0 < len(key) <= _KEY_LENGTH_MOST:
+        organisation = documents.organisations_by_digest.get(key_digest(key))
+    if organisation is None:
+        raise calls.refused(
+            _UNAUTHORISED,
+            'bad-key',
+            'the key is missing, unknown or withdrawn',
+        )
+    if key in request.path_qs:
+        raise calls.refused(
+            _BAD_REQUEST,
+            'key-in-url',
+            'send the key in the Authorization header only',
+        )
+    return organisation
+
+
+def time_allowed_ms(request: web.BaseRequest, route: Route) -> float:
+    """Return the time that the caller and the route allow.
+
+    Raises:
+        RefusedCallError: The header is no number, or the time has passed.
+    """
+    text = request.headers.get(calls.HEADER_TIMEOUT)
+    if text is None:
+        return route.timeout_ms
+    try:
+        asked_ms = float(text)
+    except ValueError:
+        asked_ms = float('nan')
+    if not -_TIMEOUT_HIGH_MS <= asked_ms <= _TIMEOUT_HIGH_MS:
+        raise calls.refused(
+            _BAD_REQUEST,
+            'bad-timeout',
+            f'{calls.HEADER_TIMEOUT}: expected a number of milliseconds',
+        )
+    if asked_ms <= 0:
+        raise calls.refused(
+            _GATEWAY_TIMEOUT,
+            'deadline',
+            'the deadline has passed',
+        )
+    return min(asked_ms, route.timeout_ms)
+
+
+def forwarded_headers(request: web.BaseRequest) -> Headers:
+    """Return the headers for the target; none of them holds the key."""
+    key = request.headers.get('Authorization', '').partition(' ')[2].strip()
+    return tuple(
+        (name, text)
+        for name, text in request.headers.items()
+        if name.lower() not in _DROPPED_REQUEST_HEADERS
+        and not (key and key in text)
+    )
+
+
+async def read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    Raises:
+        RefusedCallError: It is too large, or comes too slowly.
+    """
+    if not request.can_read_body:
+        return b''
+    if (request.content_length or 0) > limit_bytes:
+        raise _too_large(limit_bytes)
+    try:
+        async with asyncio.timeout(_BODY_TIMEOUT_S):
+            return await _read_chunks(request, limit_bytes)
+    except TimeoutError as error:
+        raise calls.refused(
+            _REQUEST_TIMEOUT,
+            'slow-body',
+            'the body did not come in time',
+        ) from error
+
+
+async def _read_chunks(request: web.BaseRequest, limit_bytes: int) -> bytes:
+    chunks = []
+    size = 0
+    async for chunk in request.content.iter_any():
+        size += len(chunk)
+        if size > limit_bytes:
+            raise _too_large(limit_bytes)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def _too_large(limit_bytes: int) -> calls.RefusedCallError:
+    return calls.refused(
+        _TOO_LARGE,
+        'body-too-large',
+        f'a body has at most {limit_bytes} bytes',
+    )
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/responses.py
@@ -0,0 +1,96 @@
+"""HTTP answers from the replies and refusals of nodes."""
+
+import json
+from collections.abc import Iterable
+
+from aiohttp import web
+from chivelead_protocol import CallReply, GuardVerdict, Outcome
+
+from chivelead_node._internal import calls
+
+_UNAUTHORISED = 401
+_CONFLICT = 409
+_UNPROCESSABLE = 422
+_UNAVAILABLE = 503
+_MS_PER_S = 1000
+
+
+def recorded_reply(verdict: GuardVerdict) -> CallReply:
+    """Return what is known of a call that was sent before."""
+    if verdict.answer is not None:
+        return verdict.answer
+    reasons = {
+        'pending': (_CONFLICT, 'in-progress', Outcome.unknown),
+        'done': (_CONFLICT, 'done-before', Outcome.done),
+        'unknown': (_CONFLICT, 'outcome-unknown', Outcome.unknown),
+        'mismatch': (_UNPROCESSABLE, 'key-reused', Outcome.not_run),
+    }
+    status, reason, outcome = reasons[verdict.decision]
+    return calls.refusal_reply(
+        calls.Refusal(
+            status,
+            reason,
+            outcome,
+            'a request with this idempotency key was sent before',
+        ),
+    )
+
+
+def answer_response(reply: CallReply, request_id: str) -> web.Response:
+    """Return a reply between nodes as an HTTP answer."""
+    if reply.reason:
+        return problem_response(
+            calls.Refusal(
+                reply.status,
+                reply.reason,
+                Outcome(reply.outcome),
+                reply.body.decode(errors='replace'),
+                _retry_hint_ms(reply),
+            ),
+            request_id,
+        )
+    response = web.Response(status=reply.status, body=reply.body)
+    _add_headers(response, reply.headers)
+    response.headers[calls.HEADER_OUTCOME] = reply.outcome
+    response.headers[calls.HEADER_REQUEST_ID] = request_id
+    return response
+
+
+def _retry_hint_ms(reply: CallReply) -> float:
+    return _MS_PER_S if reply.status == _UNAVAILABLE else 0
+
+
+def _add_headers(
+    response: web.Response,
+    headers: Iterable[tuple[str, str]],
+) -> None:
+    response.headers.popall('Content-Type', None)
+    for name, text in headers:
+        response.headers.add(name, text)
+
+
+def problem_response(refusal: calls.Refusal, request_id: str) -> web.Response:
+    """Return a refusal as problem+json (RFC 9457)."""
+    document = {
+        'type': f'urn:chivelead:{refusal.reason}',
+        'title': refusal.reason,
+        'status': refusal.status,
+        'detail': refusal.detail,
+        'outcome': refusal.outcome,
+        'request_id': request_id,
+    }
+    headers = {
+        calls.HEADER_OUTCOME: str(refusal.outcome),
+        calls.HEADER_REQUEST_ID: request_id,
+    }
+    if refusal.retry_after_ms > 0:
+        wait_s = -(-refusal.retry_after_ms // _MS_PER_S)
+        headers['Retry-After'] = f'{wait_s:.0f}'
+    if refusal.status == _UNAUTHORISED:
+        headers['WWW-Authenticate'] = 'Bearer'
+    return web.Response(
+        status=refusal.status,
+        body=json.dumps(document).encode(),
+        headers=headers,
+        content_type='application/problem+json',
+    )
--- a/packages/standins/src/chivelead_standins/_internal/commands/experiment.py
+++ b/packages/standins/src/chivelead_standins/_internal/commands/experiment.py
@@ -137,7 +137,11 @@
         )
         time_s = profile.service_ms * self.trigger.slowdown / _MS_PER_S
         capacity_per_s = profile.slots * instances / time_s
-        return min(capacity_per_s, self._rate_per_s * self.trigger.demand)
+        loudest = self.layout.organisations[0]
+        total = sum(plan.rate_per_s for plan in self.layout.organisations)
+        more = (self.trigger.loud - 1) * loudest.rate_per_s / total
+        demand_per_s = self._rate_per_s * self.trigger.demand * (1 + more)
+        return min(capacity_per_s, demand_per_s)
 
     async def _send(self, fleet: Fleet, callers: Callers) -> None:
         total_s = _WARM_S + _TRIGGER_S + _AFTER_S
--- a/packages/standins/src/chivelead_standins/_internal/commands/relay.py
+++ b/packages/standins/src/chivelead_standins/_internal/commands/relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 
 import aiohttp
@@ -13,6 +14,7 @@
 from aiohttp import web
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosed
 
 from chivelead_standins._internal.target_server import (
     CHECKSUM_HEADER,
@@ -70,11 +72,8 @@
         self._replies: dict[int, asyncio.Future[tuple[str, bytes]]] = {}
 
     async def receive(self) -> None:
-        async for raw in self._link:
-            if isinstance(raw, str):
-                raise TypeError('a text frame')
-            number, checksum, body = cbor2.loads(raw)
-            self._replies.pop(number).set_result((checksum, body))
+        with contextlib.suppress(ConnectionClosed):
+            await self._receive()
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
         number = next(self._numbers)
@@ -85,6 +84,13 @@
         checksum, body = await reply
         return web.Response(body=body, headers={CHECKSUM_HEADER: checksum})
 
+    async def _receive(self) -> None:
+        async for raw in self._link:
+            if isinstance(raw, str):
+                raise TypeError('a text frame')
+            number, checksum, body = cbor2.loads(raw)
+            self._replies.pop(number).set_result((checksum, body))
+
 
 async def _run_front(front_port: int, back_port: int) -> None:
     link = await connect(f'ws://{_HOST}:{back_port}', compression=None)
