--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -12,11 +12,11 @@
     node_settings,
     plan_layout,
 )
+from chivelead_standins._internal.scenario_layouts import small_layout
 from chivelead_standins._internal.scenarios import (
     SECRET,
     common_proofs,
     history_of,
-    small_layout,
     stream,
 )
 
