--- a/packages/coordination/tests/unit/test_rates.py
+++ b/packages/coordination/tests/unit/test_rates.py
@@ -41,7 +41,7 @@
     assert len(fleet.refused) <= offered * WRONGFUL_MOST
 
 
-@pytest.mark.parametrize('choose', [spread, moving])
+@pytest.mark.parametrize('choose', [spread, one_entry, moving])
 async def test_excess_is_refused(choose):
     fleet = RateFleet(rate_per_s=40, burst=20)
     await fleet.start()
