--- a/packages/config/src/chivelead_config/__init__.py
+++ b/packages/config/src/chivelead_config/__init__.py
@@ -20,3 +20,17 @@
 from chivelead_config._internal.settings import (
     parse_settings as parse_settings,
 )
+from chivelead_config._internal.traffic import EMPTY_PLAN as EMPTY_PLAN
+from chivelead_config._internal.traffic import (
+    IMPORTANCE_HIGHEST as IMPORTANCE_HIGHEST,
+)
+from chivelead_config._internal.traffic import CallerLimits as CallerLimits
+from chivelead_config._internal.traffic import (
+    PlanOrganisation as PlanOrganisation,
+)
+from chivelead_config._internal.traffic import PlanRoute as PlanRoute
+from chivelead_config._internal.traffic import PlanService as PlanService
+from chivelead_config._internal.traffic import RoutePart as RoutePart
+from chivelead_config._internal.traffic import TrafficPlan as TrafficPlan
+from chivelead_config._internal.edges import HeaderNames as HeaderNames
+from chivelead_config._internal.edges import TargetNews as TargetNews
--- a/packages/coordination/src/chivelead_coordination/__init__.py
+++ b/packages/coordination/src/chivelead_coordination/__init__.py
@@ -3,6 +3,10 @@
 Others may embed these parts; each works on a ``Store`` and a ``Network``.
 """
 
+from chivelead_coordination._internal.fleet_quota import (
+    FleetQuota as FleetQuota,
+)
+from chivelead_coordination._internal.fleet_quota import FleetRate as FleetRate
 from chivelead_coordination._internal.gossip import GossipTask as GossipTask
 from chivelead_coordination._internal.gossip import (
     nearest_first as nearest_first,
@@ -58,6 +62,12 @@
 from chivelead_coordination._internal.spread import (
     DocumentSpread as DocumentSpread,
 )
+from chivelead_coordination._internal.store import Change as Change
+from chivelead_coordination._internal.store import Changes as Changes
+from chivelead_coordination._internal.store import Listing as Listing
 from chivelead_coordination._internal.store import Store as Store
 from chivelead_coordination._internal.store import StoredValue as StoredValue
+from chivelead_coordination._internal.store import (
+    WatchableStore as WatchableStore,
+)
 from chivelead_coordination._internal.store import Write as Write
--- a/packages/coordination/src/chivelead_coordination/_internal/membership.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/membership.py
@@ -129,6 +129,18 @@
             else:
                 self._merge_one(member)
 
+    def hear(self, member: Member) -> None:
+        """Take in what a node says of itself, also after its death."""
+        known = self._members.get(member.vm)
+        if member.vm == self._own_vm:
+            self._refute(member)
+        elif known is None or (
+            member != known
+            and (member.incarnation, member.version)
+            >= (known.incarnation, known.version)
+        ):
+            self._put(member)
+
     def declare_dead(self, vm: str) -> None:
         """Note that a node no longer answers, at its present version."""
         member = self._members.get(vm)
--- a/packages/coordination/src/chivelead_coordination/_internal/store.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/store.py
@@ -23,20 +23,48 @@
 
 @dataclasses.dataclass(frozen=True)
 class Write:
-    """A conditional write of one key.
+    """A write of one key, mostly under a condition.
 
     Attributes:
         expected_revision: Revision the key must have; zero if it must be
-            absent.
+            absent, None for any.
         lease_id: Lease with which the key ends; zero for none.
     """
 
     key: str
     text: str
-    expected_revision: int
+    expected_revision: int | None
     lease_id: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """All keys with a prefix.
+
+    Attributes:
+        revision: Changes after it may be missing from the entries.
+    """
+
+    entries: tuple[StoredValue, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A change of one key; the entry is None if it was deleted."""
+
+    key: str
+    entry: StoredValue | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Changes in order, and the revision to go on from."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
 class Store(abc.ABC):
     """Compare-and-swap, leases and watches.
 
@@ -100,3 +128,24 @@
         Returns:
             The key, or None if ``wait_ms`` passed without a change.
         """
+
+
+class WatchableStore(Store):
+    """A store that also lists and watches all keys with a prefix."""
+
+    @abc.abstractmethod
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Return all keys with a prefix and a revision to watch from."""
+
+    @abc.abstractmethod
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_ms: int,
+    ) -> Changes:
+        """Wait for changes of keys with a prefix after a revision.
+
+        Raises:
+            HistoryLostError: The store no longer has that history.
+        """
--- a/packages/node/src/chivelead_node/_internal/calls.py
+++ b/packages/node/src/chivelead_node/_internal/calls.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from chivelead_config import Route
 from chivelead_protocol import CallReply, Headers, Outcome
 
 HEADER_OUTCOME = 'Chivelead-Outcome'
@@ -30,19 +29,24 @@
     """One call to a service, with what it inherits from its root.
 
     Attributes:
+        route: Names the route among those of its service.
         deadline_ms: Time of the loop at which the caller gives up.
+        queue_limit_ms: Longest wait for admission; zero for no own bound.
     """
 
     request_id: str
     service: str
-    route: Route
+    route: str
+    method: str
     path: str
     headers: Headers
     body: bytes
     organisation: str
     importance: int
+    idempotent: bool
     deadline_ms: float
     allowance: Allowance
+    queue_limit_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/dialects.py
@@ -0,0 +1,67 @@
+"""How a node speaks with the target beside it."""
+
+import abc
+
+from chivelead_protocol import CallRequest, Headers, Outcome
+
+from chivelead_node._internal import calls
+from chivelead_node._internal.targets import TargetAnswer
+
+_UNAVAILABLE = 503
+
+
+class TargetDialect(abc.ABC):
+    """Headers towards a target, and what its answers say."""
+
+    @abc.abstractmethod
+    def request_headers(
+        self,
+        request: CallRequest,
+        token: str,
+        left_ms: float,
+    ) -> Headers:
+        """Return the headers that the node sets.
+
+        Args:
+            request: The call.
+            token: Names the call in calls that the target makes for it.
+            left_ms: Time left until the deadline.
+        """
+
+    @abc.abstractmethod
+    def is_refusal(self, answer: TargetAnswer) -> bool:
+        """Tell whether the target says that it has not run the request."""
+
+    def check(self, request: CallRequest, status: int, heads: Headers) -> None:
+        """Check that the head of an answer belongs to a request.
+
+        Raises:
+            TargetFailedError: It does not, or is no answer of a target.
+        """
+
+
+class ChiveleadDialect(TargetDialect):
+    """The headers of chivelead's own interface."""
+
+    def request_headers(
+        self,
+        request: CallRequest,
+        token: str,
+        left_ms: float,
+    ) -> Headers:
+        """Return the token, identity, time and organisation."""
+        return (
+            (calls.HEADER_TOKEN, token),
+            (calls.HEADER_REQUEST_ID, request.request_id),
+            (calls.HEADER_TIMEOUT, f'{left_ms:.0f}'),
+            (calls.HEADER_ORGANISATION, request.organisation),
+        )
+
+    def is_refusal(self, answer: TargetAnswer) -> bool:
+        """Tell whether a target shed the request for overload."""
+        if answer.status != _UNAVAILABLE:
+            return False
+        return any(
+            name.lower() == 'chivelead-outcome' and text == Outcome.not_run
+            for name, text in answer.headers
+        )
--- a/packages/node/src/chivelead_node/_internal/entry.py
+++ b/packages/node/src/chivelead_node/_internal/entry.py
@@ -143,12 +143,14 @@
         call = calls.Call(
             request_id=request_id,
             service=service,
-            route=route,
+            route=route.path,
+            method=route.method,
             path=path,
             headers=forwarded_headers(request),
             body=body,
             organisation=organisation,
             importance=route.importance,
+            idempotent=route.idempotent,
             deadline_ms=deadline_ms,
             allowance=calls.Allowance(allowance),
         )
@@ -174,12 +176,14 @@
         call = calls.Call(
             request_id=parent.request_id,
             service=service,
-            route=route,
+            route=route.path,
+            method=route.method,
             path=path,
             headers=forwarded_headers(request),
             body=await read_body(request, self._body_limit),
             organisation=parent.organisation,
             importance=parent.importance,
+            idempotent=route.idempotent,
             deadline_ms=deadline_ms,
             allowance=parent.allowance,
         )
@@ -204,7 +208,7 @@
     ) -> CallReply:
         """Run a call, once only if it carries an idempotency key."""
         key = request.headers.get(calls.HEADER_IDEMPOTENCY, '')
-        if call.route.idempotent or not key:
+        if call.idempotent or not key:
             return await self._outbound.run(call)
         if len(key) > _IDEMPOTENCY_LENGTH_MOST:
             raise calls.refused(
@@ -247,7 +251,7 @@
         claim_id: str,
     ) -> GuardVerdict:
         fingerprint = hashlib.sha256(
-            f'{call.route.method} {call.path}\n'.encode() + call.body,
+            f'{call.method} {call.path}\n'.encode() + call.body,
         ).hexdigest()
         try:
             verdict = await self._guard.begin(digest, fingerprint, claim_id)
--- a/packages/node/src/chivelead_node/_internal/events.py
+++ b/packages/node/src/chivelead_node/_internal/events.py
@@ -51,6 +51,24 @@
         if self._log_calls:
             self._write(event, {'request_id': request_id, **fields})
 
+    def decision(
+        self,
+        kind: str,
+        event: str,
+        request_id: str,
+        **fields: object,
+    ) -> None:
+        """Note a decision on a request and write it to the log.
+
+        Args:
+            kind: Group of lines that share one bound.
+            event: Name of the event.
+            request_id: Identity of the request.
+            fields: The inputs of the decision and its outcome.
+        """
+        self._keep(event, {'request_id': request_id, **fields})
+        self._write(event, {'kind': kind, 'request_id': request_id, **fields})
+
     def node(self, event: str, **fields: object) -> None:
         """Note an event of the node and write it to the log."""
         self._keep(event, fields)
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -1,6 +1,7 @@
 """Calls to this node's target: admission, the run, and the reply."""
 
 import asyncio
+import functools
 import secrets
 from typing import Any
 
@@ -14,13 +15,13 @@
 from chivelead_protocol import (
     CallReply,
     CallRequest,
-    Headers,
     Outcome,
     TargetState,
     now_ms,
 )
 
 from chivelead_node._internal import calls
+from chivelead_node._internal.dialects import TargetDialect
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.metrics import Metrics
 from chivelead_node._internal.targets import (
@@ -59,6 +60,7 @@
         admission: Decides which calls run.
         events: Log of events.
         metrics: Counters.
+        dialect: How the target is spoken to.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         admission: Admission,
         events: EventLog,
         metrics: Metrics,
+        dialect: TargetDialect,
     ) -> None:
         """Start with nothing running."""
         self.draining = False
@@ -75,9 +78,12 @@
         self._admission = admission
         self._events = events
         self._metrics = metrics
+        self._dialect = dialect
         self._running: dict[str, calls.RunningRequest] = {}
         self._tasks: dict[str, asyncio.Task[Any]] = {}
         self._started: dict[str, None] = {}
+        # Breaking these off would leave their outcome unknown for nothing.
+        self._unstoppable: set[str] = set()
 
     def find_running(self, token: str) -> calls.RunningRequest | None:
         """Return the request in flight to which a token belongs."""
@@ -104,11 +110,12 @@
         finally:
             self.in_flight -= 1
             self._tasks.pop(request.attempt_id, None)
+            self._unstoppable.discard(request.attempt_id)
 
     def cancel(self, attempt_id: str) -> None:
-        """Stop an attempt whose caller has gone."""
+        """Stop an attempt whose caller has gone, if that harms nothing."""
         task = self._tasks.get(attempt_id)
-        if task is not None:
+        if task is not None and attempt_id not in self._unstoppable:
             task.cancel()
 
     def refuses_new_work(self) -> bool:
@@ -155,7 +162,12 @@
         if self.refuses_new_work():
             raise RefusedError(RefusalReason.draining)
         await self._admission.admit(
-            Applicant(request.organisation, request.importance, deadline_ms),
+            Applicant(
+                request.organisation,
+                request.importance,
+                deadline_ms,
+                request.queue_limit_ms,
+            ),
         )
 
     async def _run_admitted(
@@ -173,6 +185,8 @@
             allowance=allowance,
         )
         started_ms = now_ms()
+        if not request.idempotent:
+            self._unstoppable.add(request.attempt_id)
         # What holds unless an answer or a failure says otherwise.
         reply = calls.refusal_reply(_late_refusal())
         shed = False
@@ -181,7 +195,7 @@
             async with asyncio.timeout_at(deadline_ms / _MS_PER_S):
                 answer = await self._call_target(request, token, deadline_ms)
             failed = False
-            shed = _is_shed(answer)
+            shed = self._dialect.is_refusal(answer)
             reply = _answer_reply(answer, shed=shed)
         except TargetFailedError as error:
             reply = calls.refusal_reply(_failure_refusal(error))
@@ -206,18 +220,17 @@
         token: str,
         deadline_ms: float,
     ) -> TargetAnswer:
-        left_ms = deadline_ms - now_ms()
-        extra: Headers = (
-            (calls.HEADER_TOKEN, token),
-            (calls.HEADER_REQUEST_ID, request.request_id),
-            (calls.HEADER_TIMEOUT, f'{left_ms:.0f}'),
-            (calls.HEADER_ORGANISATION, request.organisation),
+        own = self._dialect.request_headers(
+            request,
+            token,
+            deadline_ms - now_ms(),
         )
         return await self._target.call(
             request.method,
             request.path,
-            request.headers + extra,
+            request.headers + own,
             request.body,
+            functools.partial(self._dialect.check, request),
         )
 
     def _note_end(
@@ -256,16 +269,6 @@
         )
 
 
-def _is_shed(answer: TargetAnswer) -> bool:
-    """Tell whether the target itself refused to run the request."""
-    if answer.status != _UNAVAILABLE:
-        return False
-    return any(
-        name.lower() == 'chivelead-outcome' and text == Outcome.not_run
-        for name, text in answer.headers
-    )
-
-
 def _answer_reply(answer: TargetAnswer, *, shed: bool) -> CallReply:
     if shed:
         return calls.refusal_reply(
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/lines.py
@@ -0,0 +1,127 @@
+"""Log lines on standard output: key=value pairs, bounded, never blocking."""
+
+import asyncio
+import collections
+import os
+import re
+import sys
+from typing import Any
+
+import eliot
+from chivelead_protocol import now_ms
+
+# Lines of one kind that are written in a second; more are counted only.  The
+# sum over the kinds stays below 2% of a core at 10 us a line.
+_LINES_PER_S = {'served': 150, 'failed': 300, 'node': 200}
+_FLUSH_PERIOD_S = 0.1
+_TOLD_PERIOD_S = 5.0
+# Lines that wait while the reader is slow; about 1 MB.
+_BUFFER_LINES = 4000
+_WRITE_BYTES = 65_536
+_MS_PER_S = 1000
+_QUIET_KEYS = frozenset(('task_uuid', 'task_level', 'timestamp'))
+_PLAIN = re.compile(r'[^\s"=]+')
+
+
+class LineLog:
+    """Write events to a file descriptor that may be slow.
+
+    Args:
+        descriptor: Where to; standard output by default.
+    """
+
+    def __init__(self, descriptor: int | None = None) -> None:
+        """Start with nothing to write."""
+        self.left_out = 0
+        self._descriptor = (
+            sys.stdout.fileno() if descriptor is None else descriptor
+        )
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b''
+        self._second = 0
+        self._counts: dict[str, int] = {}
+        self._told = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Take in events from now on."""
+        os.set_blocking(self._descriptor, False)
+        eliot.add_destinations(self._take_in)
+        self._tasks = [
+            asyncio.create_task(self._flush_forever()),
+            asyncio.create_task(self._tell_forever()),
+        ]
+
+    async def close(self) -> None:
+        """Write what can be written at once, and stop."""
+        eliot.remove_destination(self._take_in)
+        for task in self._tasks:
+            task.cancel()
+        self._flush()
+
+    def _take_in(self, entry: dict[str, Any]) -> None:
+        if not self._fits(entry.get('kind', 'node')):
+            self.left_out += 1
+            return
+        fields = [
+            f'{name}={_shown(field)}'
+            for name, field in entry.items()
+            if name not in _QUIET_KEYS
+        ]
+        self._lines.append(' '.join(fields).encode(errors='replace') + b'\n')
+
+    def _fits(self, kind: str) -> bool:
+        second = int(now_ms() / _MS_PER_S)
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+        count = self._counts.get(kind, 0) + 1
+        self._counts[kind] = count
+        room = _LINES_PER_S.get(kind, _LINES_PER_S['node'])
+        return count <= room and len(self._lines) < _BUFFER_LINES
+
+    async def _flush_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_FLUSH_PERIOD_S)
+            self._flush()
+
+    async def _tell_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_TOLD_PERIOD_S)
+            if self.left_out > self._told:
+                count = self.left_out - self._told
+                self._told = self.left_out
+                eliot.log_message('lines-left-out', count=count)
+
+    def _flush(self) -> None:
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._next_block()
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the log any more; there is nowhere to say so.
+                self._lines.clear()
+                self._rest = b''
+                return
+            self._rest = self._rest[written:]
+
+    def _next_block(self) -> bytes:
+        block = []
+        size = 0
+        while self._lines and size < _WRITE_BYTES:
+            line = self._lines.popleft()
+            block.append(line)
+            size += len(line)
+        return b''.join(block)
+
+
+def _shown(field: object) -> str:
+    text = str(field)
+    if _PLAIN.fullmatch(text):
+        return text
+    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
+    escaped = escaped.replace('\n', '\\n').replace('\r', '\\r')
+    return f'"{escaped}"'
--- a/packages/node/src/chivelead_node/_internal/links.py
+++ b/packages/node/src/chivelead_node/_internal/links.py
@@ -8,6 +8,7 @@
 from chivelead_protocol import (
     ChiveleadError,
     HybridClock,
+    LinkLostError,
     LinkNotOpenError,
     PeerLink,
     now_ms,
@@ -50,9 +51,8 @@
         return self.bytes_closed + open_bytes
 
     def is_failing(self, vm: str) -> bool:
-        """Tell whether a link could not be opened just now."""
-        failed_ms = self._failed_ms.get(vm)
-        return failed_ms is not None and now_ms() - failed_ms < _RETRY_MS
+        """Tell whether the last link was lost or could not be opened."""
+        return vm in self._failed_ms
 
     async def start(self) -> None:
         """Begin to close idle links."""
@@ -70,7 +70,11 @@
         link = self._links.get(vm)
         if link is None or not link.is_open:
             link = await self._open(vm)
-        return await link.request(body, timeout_ms)
+        try:
+            return await link.request(body, timeout_ms)
+        except LinkLostError:
+            self._failed_ms[vm] = now_ms()
+            raise
 
     async def send(self, vm: str, body: Any) -> None:
         """Send a message without a reply, if there is an open link."""
@@ -93,7 +97,8 @@
         return link.peer_vm
 
     async def _open(self, vm: str) -> PeerLink:
-        if self.is_failing(vm):
+        failed_ms = self._failed_ms.get(vm, -_RETRY_MS)
+        if now_ms() - failed_ms < _RETRY_MS:
             raise LinkNotOpenError(f'connect to {vm}', 'it failed just now')
         opening = self._opening.get(vm)
         if opening is None:
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from chivelead_coordination import Membership
 from chivelead_policy import (
@@ -33,8 +34,10 @@
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _DRAINING_MS = 2000.0
+# Refusals that the target itself gave.
+_AT_TARGET = frozenset(('target-overload', 'target-refused'))
 
-LocalAnswer = Callable[[CallRequest], Awaitable[CallReply]]
+LocalAnswer = Callable[[CallRequest], Coroutine[Any, Any, CallReply]]
 
 
 class OutboundCalls:
@@ -44,6 +47,7 @@
         membership: Targets and their nodes.
         links: Links to the nodes.
         answer_here: Runs a call at this node's own target.
+        cancel_here: Stops such a call, if that harms nothing.
         router: Choice among candidates.
         retries: Policy of retries.
         events: Log of events.
@@ -55,6 +59,7 @@
         membership: Membership,
         links: LinkPool,
         answer_here: LocalAnswer,
+        cancel_here: Callable[[str], None],
         router: Router,
         retries: RetryPolicy,
         events: EventLog,
@@ -64,6 +69,8 @@
         self._membership = membership
         self._links = links
         self._answer_here = answer_here
+        self._cancel_here = cancel_here
+        self._running_here: set[asyncio.Task[CallReply]] = set()
         self._router = router
         self._retries = retries
         self._events = events
@@ -76,6 +83,7 @@
     async def run(self, call: calls.Call) -> CallReply:
         """Run a call to its end, with retries, and return the reply."""
         tried: set[str] = set()
+        self._retries.requested(call.service)
         last_reply: CallReply | None = None
         for retries_done in itertools.count():
             try:
@@ -93,10 +101,11 @@
                 allowance=call.allowance.left,
                 may_repeat=_may_repeat(call, reply),
                 left_ms=call.deadline_ms - now_ms(),
+                arrived=_arrived(reply),
             )
             if not self._retries.allows(failure):
                 return reply
-            call.allowance.left -= 1
+            call.allowance.left -= self._retries.cost(failure)
             last_reply = reply
         raise AssertionError('unreachable')
 
@@ -110,11 +119,10 @@
             )
         vms = [member.vm for member in members]
         importance = call.importance
-        path = call.route.path
         if self._pressure.sheds(
             vms,
             importance,
-        ) or self._pressure.chain_sheds(call.service, path, importance):
+        ) or self._pressure.chain_sheds(call.service, call.route, importance):
             self._events.call('shed-at-caller', call.request_id)
             raise calls.refused(
                 _UNAVAILABLE,
@@ -189,15 +197,16 @@
             request_id=call.request_id,
             attempt_id=f'{own.vm}.{own.boot_id}.{next(self._attempts)}',
             service=call.service,
-            method=call.route.method,
+            method=call.method,
             path=call.path,
             headers=call.headers,
             body=call.body,
             organisation=call.organisation,
             importance=call.importance,
-            idempotent=call.route.idempotent,
+            idempotent=call.idempotent,
             timeout_ms=call.deadline_ms - now_ms(),
             retry_allowance=lent,
+            queue_limit_ms=call.queue_limit_ms,
         )
 
     async def _send(self, vm: str, request: CallRequest) -> CallReply:
@@ -218,13 +227,23 @@
 
     async def _deliver(self, vm: str, request: CallRequest) -> CallReply:
         if vm == self._membership.own.vm:
-            return await self._answer_here(request)
+            return await self._run_here(request)
         reply = await self._links.request(vm, request, request.timeout_ms)
         if not isinstance(reply, CallReply):
             raise ChiveleadError(f'call {vm}', 'the reply is no call reply')
         return reply
 
+    async def _run_here(self, request: CallRequest) -> CallReply:
+        # The caller may go while a call runs that must not be broken off.
+        running = asyncio.ensure_future(self._answer_here(request))
+        self._running_here.add(running)
+        running.add_done_callback(self._running_here.discard)
+        return await asyncio.shield(running)
+
     async def _cancel(self, vm: str, attempt_id: str) -> None:
+        if vm == self._membership.own.vm:
+            self._cancel_here(attempt_id)
+            return
         try:
             await self._links.send(vm, CallCancel(attempt_id))
         except ChiveleadError:
@@ -242,7 +261,7 @@
         self._pressure.note(vm, reply, elapsed_ms)
         self._pressure.note_chain(
             call.service,
-            call.route.path,
+            call.route,
             reply.chain_level,
         )
         call.allowance.chain_level = max(
@@ -262,10 +281,15 @@
     return reply.reason != ''
 
 
+def _arrived(reply: CallReply) -> bool:
+    """Tell whether an attempt reached a target, refused there or not."""
+    return reply.outcome != Outcome.not_run or reply.reason in _AT_TARGET
+
+
 def _may_repeat(call: calls.Call, reply: CallReply) -> bool:
     if reply.reason == 'deadline':
         return False
-    return call.route.idempotent or reply.outcome == Outcome.not_run
+    return call.idempotent or reply.outcome == Outcome.not_run
 
 
 def _lost(status: int, reason: str, outcome: Outcome) -> CallReply:
--- a/packages/node/src/chivelead_node/_internal/parts.py
+++ b/packages/node/src/chivelead_node/_internal/parts.py
@@ -25,6 +25,7 @@
     now_ms,
 )
 
+from chivelead_node._internal.dialects import ChiveleadDialect
 from chivelead_node._internal.entry import Entry
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.inbound import InboundCalls
@@ -163,12 +164,19 @@
         QUEUES.find(settings.policy.queue)(),
         shed_late=settings.policy.queue != 'fifo',
     )
-    inbound = InboundCalls(target, admission, events, metrics)
+    inbound = InboundCalls(
+        target,
+        admission,
+        events,
+        metrics,
+        ChiveleadDialect(),
+    )
     seed = int(boot_id, _HEXADECIMAL) % (1 << _SEED_BITS)
     outbound = OutboundCalls(
         membership,
         links,
         inbound.answer,
+        inbound.cancel,
         ROUTERS.find(settings.policy.routing)(seed),
         RETRIES.find(settings.policy.retries)(),
         events,
--- a/packages/node/src/chivelead_node/_internal/pressure.py
+++ b/packages/node/src/chivelead_node/_internal/pressure.py
@@ -45,6 +45,12 @@
             latency_ms,
         )
 
+    def note_load(self, vm: str, shed_level: float, load: float) -> None:
+        """Learn from a report that answers no call."""
+        known = self._targets.get(vm)
+        latency_ms = known.latency_ms if known else 0
+        self._targets[vm] = _Seen(now_ms(), shed_level, load, latency_ms)
+
     def note_chain(self, service: str, path: str, level: float) -> None:
         """Learn the shed level that a route's chain meets."""
         self._chains[(service, path)] = (now_ms(), level)
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""A node on a platform that lists no VMs and keeps the edits itself."""
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/dialect.py
@@ -0,0 +1,70 @@
+"""The headers of the platform between a node and its target."""
+
+from collections.abc import Callable
+
+from chivelead_config import HeaderNames
+from chivelead_protocol import CallRequest, Headers
+
+from chivelead_node._internal.dialects import TargetDialect
+from chivelead_node._internal.targets import TargetAnswer, TargetFailedError
+
+_SUCCESS = range(200, 300)
+
+
+class PlatformDialect(TargetDialect):
+    """Name the target that is meant, and match answers by request id.
+
+    Args:
+        names: Names of the headers.
+        target_id: Returns the identity of the target at present.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        target_id: Callable[[], str],
+    ) -> None:
+        """Keep the names."""
+        self._names = names
+        self._target_id = target_id
+
+    def request_headers(
+        self,
+        request: CallRequest,
+        token: str,
+        left_ms: float,
+    ) -> Headers:
+        """Return time, organisation and the target that is meant."""
+        names = self._names
+        own = (
+            (names.time_left_ms, str(max(1, int(left_ms)))),
+            (names.expected_target, self._target_id()),
+        )
+        if request.organisation:
+            return (*own, (names.organisation, request.organisation))
+        return own
+
+    def is_refusal(self, answer: TargetAnswer) -> bool:
+        """Tell whether the answer says that the request has not run."""
+        if answer.status in _SUCCESS:
+            return False
+        return _find(answer.headers, self._names.not_run) is not None
+
+    def check(self, request: CallRequest, status: int, heads: Headers) -> None:
+        """Accept an answer to this very request only."""
+        names = self._names
+        if _find(heads, names.request_id) != request.request_id:
+            raise TargetFailedError('answer to another request', ran=True)
+        if _find(heads, 'Content-Encoding') is not None:
+            raise TargetFailedError('the body is encoded', ran=True)
+        is_stamped = _find(heads, names.answer_stamp) is not None
+        if status in _SUCCESS and not is_stamped:
+            raise TargetFailedError('a success without its stamp', ran=True)
+
+
+def _find(heads: Headers, name: str) -> str | None:
+    wanted = name.lower()
+    for head, text in heads:
+        if head.lower() == wanted:
+            return text
+    return None
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -0,0 +1,349 @@
+"""The way in for callers and for the target of this VM."""
+
+import asyncio
+import random
+
+from aiohttp import web
+from chivelead_config import (
+    HeaderNames,
+    PlanRoute,
+    TrafficPlan,
+    key_digest,
+)
+from chivelead_coordination import FleetQuota
+from chivelead_policy import WeightedSplit
+from chivelead_protocol import CallReply, Headers, Outcome, now_ms
+
+from chivelead_node._internal import calls
+from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.proxy.metrics import ProxyMetrics
+from chivelead_node._internal.requests import read_body
+
+_UNAUTHORISED = 401
+_NOT_FOUND = 404
+_TOO_MANY = 429
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_MS_PER_S = 1000
+# A request may wait this part of its objective for admission; beyond that it
+# counts as held, and the caller does better to come back.
+_QUEUE_PART = 0.125
+# Spread of Retry-After, so that refused callers do not come back together.
+_RETRY_LEAST_MS = 200.0
+_RETRY_SPREAD_MS = 400.0
+_SEED_BITS = 32
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
+
+class ProxyEntry:
+    """Turn HTTP requests into calls, and replies into answers.
+
+    Args:
+        names: Names of the headers at the edges.
+        own_service: Service of the target on this VM.
+        outbound: Runs the calls.
+        quota: Enforces the rates of organisations.
+        events: Log of events.
+        metrics: Counters and histograms.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        names: HeaderNames,
+        own_service: str,
+        outbound: OutboundCalls,
+        quota: FleetQuota,
+        events: EventLog,
+        metrics: ProxyMetrics,
+    ) -> None:
+        """Start without a plan."""
+        self.in_flight = 0
+        self.closing = False
+        self.refusing = False
+        self._names = names
+        self._own_service = own_service
+        self._outbound = outbound
+        self._quota = quota
+        self._events = events
+        self._metrics = metrics
+        self._plan: TrafficPlan | None = None
+        self._splits: dict[str, WeightedSplit] = {}
+        self._set_headers = frozenset(
+            (
+                'authorization',
+                names.time_left_ms.lower(),
+                names.organisation.lower(),
+                names.origin_service.lower(),
+                names.expected_target.lower(),
+            ),
+        )
+
+    def apply(self, plan: TrafficPlan) -> None:
+        """Take in a new plan; calls under way keep theirs."""
+        self._plan = plan
+        self._splits = {
+            route.name: WeightedSplit(
+                [part.weight for part in route.parts],
+                random.getrandbits(_SEED_BITS),
+            )
+            for routes in plan.routes_by_host.values()
+            for route in routes
+            if len(route.parts) > 1
+        }
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answer one request."""
+        arrived_ms = now_ms()
+        request_id = request.headers.get(self._names.request_id, '')
+        self.in_flight += 1
+        try:
+            response = await self._answer(request, request_id, arrived_ms)
+        except asyncio.CancelledError:
+            self._note(request_id, arrived_ms, 'caller-gone', status=0)
+            raise
+        finally:
+            self.in_flight -= 1
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        arrived_ms: float,
+    ) -> web.Response:
+        try:
+            call = await self._accept(request, request_id, arrived_ms)
+        except calls.RefusedCallError as error:
+            refusal = error.refusal
+            self._note(
+                request_id,
+                arrived_ms,
+                refusal.reason,
+                status=refusal.status,
+            )
+            return _refusal_response(refusal)
+        reply = await self._run(call)
+        response = _response(reply)
+        self._note(
+            request_id,
+            arrived_ms,
+            reply.reason or 'answered',
+            status=response.status,
+            service=call.service,
+            organisation=call.organisation,
+            outcome=reply.outcome,
+        )
+        return response
+
+    async def _run(self, call: calls.Call) -> CallReply:
+        try:
+            async with asyncio.timeout_at(call.deadline_ms / _MS_PER_S):
+                return await self._outbound.run(call)
+        except TimeoutError:
+            return calls.refusal_reply(
+                calls.Refusal(
+                    _GATEWAY_TIMEOUT,
+                    'timeout',
+                    Outcome.unknown,
+                    'no answer came in time',
+                ),
+            )
+
+    async def _accept(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        arrived_ms: float,
+    ) -> calls.Call:
+        plan = self._plan
+        if plan is None or self.refusing:
+            raise _unavailable('no-plan' if plan is None else 'closing')
+        raw_path = request.raw_path
+        route = plan.find_route(
+            request.headers.get('Host', '').partition(':')[0].lower(),
+            raw_path.partition('?')[0],
+        )
+        if route is None:
+            raise calls.refused(_NOT_FOUND, 'unknown-route', 'no such route')
+        organisation = self._authenticate(plan, route, request)
+        left_ms = self._time_left_ms(request, route)
+        self._take_token(organisation)
+        body = await read_body(request, plan.limits.body_limit_bytes)
+        importance = route.importance
+        if organisation:
+            rank = plan.organisations[organisation].importance
+            importance = importance if rank is None else rank
+        return calls.Call(
+            request_id=request_id,
+            service=self._choose_service(route),
+            route=route.name,
+            method=request.method,
+            path=raw_path,
+            headers=self._forwarded(request),
+            body=body,
+            organisation=organisation,
+            importance=importance,
+            idempotent=route.idempotent,
+            deadline_ms=arrived_ms + left_ms,
+            allowance=calls.Allowance(route.attempts_most - 1),
+            queue_limit_ms=route.objective_ms * _QUEUE_PART,
+        )
+
+    def _authenticate(
+        self,
+        plan: TrafficPlan,
+        route: PlanRoute,
+        request: web.BaseRequest,
+    ) -> str:
+        """Return the organisation of the key; empty on an open route."""
+        text = request.headers.get('Authorization', '')
+        if not plan.has_organisations or (route.open and not text):
+            return ''
+        scheme, _, key = text.partition(' ')
+        organisation = None
+        if scheme.lower() == self._names.key_scheme.lower():
+            digest = key_digest(key.strip())
+            organisation = plan.organisations_by_digest.get(digest)
+        if organisation is None:
+            raise calls.refused(
+                _UNAUTHORISED,
+                'bad-key',
+                'the key is missing, unknown or withdrawn',
+            )
+        return organisation
+
+    def _time_left_ms(
+        self,
+        request: web.BaseRequest,
+        route: PlanRoute,
+    ) -> float:
+        text = request.headers.get(self._names.time_left_ms, '')
+        try:
+            left_ms = float(text)
+        except ValueError:
+            return route.timeout_ms
+        if left_ms <= 0:
+            raise _unavailable('deadline')
+        return min(left_ms, route.timeout_ms)
+
+    def _take_token(self, organisation: str) -> None:
+        if not organisation:
+            return
+        wait_ms = self._quota.take(organisation)
+        if wait_ms:
+            raise calls.refused(
+                _TOO_MANY,
+                'rate',
+                'the organisation has used up its rate and burst',
+                retry_after_ms=wait_ms,
+            )
+
+    def _choose_service(self, route: PlanRoute) -> str:
+        split = self._splits.get(route.name)
+        return route.parts[split.choose() if split else 0].service
+
+    def _forwarded(self, request: web.BaseRequest) -> Headers:
+        """Return the headers for the target; none of them holds the key."""
+        named = request.headers.get('Connection', '').lower()
+        dropped = {word.strip() for word in named.split(',')}
+        kept = [
+            (name, text)
+            for name, text in request.headers.items()
+            if not (
+                name.lower() in _HOP_HEADERS
+                or name.lower() in self._set_headers
+                or name.lower() in dropped
+            )
+        ]
+        kept.append((self._names.origin_service, self._own_service))
+        return tuple(kept)
+
+    def _note(
+        self,
+        request_id: str,
+        arrived_ms: float,
+        result: str,
+        **fields: object,
+    ) -> None:
+        elapsed_ms = now_ms() - arrived_ms
+        self._metrics.answered(result, elapsed_ms)
+        self._events.decision(
+            'served' if result == 'answered' else 'failed',
+            'request-ended',
+            request_id,
+            result=result,
+            elapsed_ms=round(elapsed_ms, 1),
+            plan=self._plan.version if self._plan else 0,
+            **fields,
+        )
+
+
+def _unavailable(reason: str) -> calls.RefusedCallError:
+    return calls.refused(
+        _UNAVAILABLE,
+        reason,
+        'this node cannot take the request now',
+        retry_after_ms=_RETRY_LEAST_MS,
+    )
+
+
+def _response(reply: CallReply) -> web.Response:
+    if not reply.reason:
+        return _raw_response(reply.status, reply.headers, reply.body)
+    if reply.outcome == Outcome.not_run:
+        retry_after_ms = max(_RETRY_LEAST_MS, reply.queue_ms)
+        spread_ms = random.random() * _RETRY_SPREAD_MS  # noqa: S311
+        return _refusal_response(
+            calls.Refusal(
+                _UNAVAILABLE,
+                reply.reason,
+                Outcome.not_run,
+                reply.body.decode(errors='replace'),
+                retry_after_ms + spread_ms,
+            ),
+        )
+    status = reply.status
+    if status != _GATEWAY_TIMEOUT:
+        status = _BAD_GATEWAY
+    return _refusal_response(
+        calls.Refusal(
+            status,
+            reply.reason,
+            Outcome.unknown,
+            reply.body.decode(errors='replace'),
+        ),
+    )
+
+
+def _refusal_response(refusal: calls.Refusal) -> web.Response:
+    heads: Headers = (('Content-Type', 'text/plain'),)
+    if refusal.retry_after_ms > 0:
+        wait_s = refusal.retry_after_ms / _MS_PER_S
+        heads = (*heads, ('Retry-After', f'{wait_s:.2f}'))
+    text = f'{refusal.reason}: {refusal.detail}\n'
+    return _raw_response(refusal.status, heads, text.encode())
+
+
+def _raw_response(status: int, heads: Headers, body: bytes) -> web.Response:
+    response = web.Response(status=status, body=body)
+    response.headers.clear()
+    for name, text in heads:
+        response.headers.add(name, text)
+    return response
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/metrics.py
@@ -0,0 +1,68 @@
+"""Counters and latency histograms, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+_MS_PER_S = 1000
+# From the fastest read to the longest deadline of the deployments.
+_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class ProxyMetrics:
+    """Metrics of one node."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        self.registry = CollectorRegistry()
+        self._ended = Counter(
+            'chivelead_requests',
+            'Requests that ended at this entry, by result.',
+            ['result'],
+            registry=self.registry,
+        )
+        self._latency = Histogram(
+            'chivelead_request_seconds',
+            'Time from arrival to the answer at this entry.',
+            ['result'],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._target = Histogram(
+            'chivelead_target_seconds',
+            'Time that the target took for a call.',
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._events = Counter(
+            'chivelead_events',
+            'Decisions by name.',
+            ['event'],
+            registry=self.registry,
+        )
+        self._level = Gauge(
+            'chivelead_level',
+            'Present levels by name.',
+            ['name'],
+            registry=self.registry,
+        )
+
+    def answered(self, result: str, elapsed_ms: float) -> None:
+        """Count a request that ended at this entry."""
+        self._ended.labels(result).inc()
+        self._latency.labels(result).observe(elapsed_ms / _MS_PER_S)
+
+    def count(self, name: str) -> None:
+        """Count one event."""
+        self._events.labels(name).inc()
+
+    def timing(self, name: str, elapsed_ms: float) -> None:
+        """Record a duration at the target."""
+        self._target.observe(elapsed_ms / _MS_PER_S)
+
+    def gauge(self, name: str, level: float) -> None:
+        """Record a level."""
+        self._level.labels(name).set(level)
+
+    def page(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -0,0 +1,149 @@
+"""The newest traffic plan, from the store or from any peer."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from chivelead_config import EMPTY_PLAN, TrafficPlan
+from chivelead_coordination import Network, WatchableStore
+from chivelead_protocol import (
+    ChiveleadError,
+    ConfigurationError,
+    PlanPull,
+    PlanText,
+    StoreError,
+)
+
+from chivelead_node._internal.events import EventLog
+
+logger = logging.getLogger(__name__)
+
+# A watch that has gone quiet hides a change for at most this long; an edit
+# has to be in force within 2.5 s, and peers bring it sooner.
+_WATCH_MS = 2000
+_RETRY_S = 0.25
+_RETRY_SPREAD_S = 0.15
+_PULL_TIMEOUT_MS = 1000
+
+Listener = Callable[[TrafficPlan], None]
+
+
+class PlanFeed:
+    """Follow the plan; its version never falls in a process.
+
+    Args:
+        store: The platform's store.
+        key: Where the plan lies in the store.
+        parse: Decodes its text.
+        network: Links to other nodes.
+        events: Log of events.
+    """
+
+    def __init__(
+        self,
+        store: WatchableStore,
+        key: str,
+        parse: Callable[[bytes], TrafficPlan],
+        network: Network,
+        events: EventLog,
+    ) -> None:
+        """Start without a plan."""
+        self.current = EMPTY_PLAN
+        self._text = ''
+        self._store = store
+        self._key = key
+        self._parse = parse
+        self._network = network
+        self._events = events
+        self._listeners: list[Listener] = []
+        self._task: asyncio.Task[None] | None = None
+        self._pulls: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Begin to follow the store."""
+        self._task = asyncio.create_task(self._follow_forever())
+
+    async def close(self) -> None:
+        """Stop."""
+        for task in (self._task, *self._pulls):
+            if task is not None:
+                task.cancel()
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each plan that comes into force."""
+        self._listeners.append(listener)
+
+    def answer_pull(self) -> PlanText:
+        """Return the text of the plan in force."""
+        return PlanText(self.current.version, self._text)
+
+    def hear_version(self, vm: str, version: int) -> None:
+        """Fetch the plan of a peer if it is newer."""
+        if version > self.current.version and not self._pulls:
+            task = asyncio.create_task(self._pull(vm))
+            self._pulls.add(task)
+            task.add_done_callback(self._pulls.discard)
+
+    async def _pull(self, vm: str) -> None:
+        try:
+            reply = await self._network.request(
+                vm,
+                PlanPull(),
+                _PULL_TIMEOUT_MS,
+            )
+        except ChiveleadError as error:
+            logger.debug('pull plan from %s: %s', vm, error)
+            return
+        if isinstance(reply, PlanText) and reply.text:
+            self._take_in(reply.text, vm)
+
+    async def _follow_forever(self) -> None:
+        while True:
+            try:
+                await self._follow()
+            except StoreError as error:
+                logger.debug('follow plan: %s', error)
+                spread_s = random.random() * _RETRY_SPREAD_S  # noqa: S311
+                await asyncio.sleep(_RETRY_S + spread_s)
+
+    async def _follow(self) -> None:
+        """Read the plan, then watch it until a watch fails."""
+        listing = await self._store.list_prefix(self._key)
+        for entry in listing.entries:
+            if entry.key == self._key:
+                self._take_in(entry.text, 'store')
+        revision = listing.revision
+        while True:
+            changes = await self._store.watch_prefix(
+                self._key,
+                revision,
+                _WATCH_MS,
+            )
+            revision = max(revision, changes.revision)
+            for change in changes.changes:
+                if change.key == self._key and change.entry is not None:
+                    self._take_in(change.entry.text, 'store')
+
+    def _take_in(self, text: str, source: str) -> None:
+        if text == self._text:
+            return
+        try:
+            plan = self._parse(text.encode())
+        except ConfigurationError as error:
+            self._events.node('bad-plan', source=source, why=str(error)[:200])
+            return
+        if plan.version <= self.current.version:
+            return
+        before = self.current.version
+        self.current = plan
+        self._text = text
+        self._events.node(
+            'plan-in-force',
+            version=plan.version,
+            before=before,
+            source=source,
+            routes=sum(map(len, plan.routes_by_host.values())),
+        )
+        for listener in self._listeners:
+            listener(plan)
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/pulses.py
@@ -0,0 +1,155 @@
+"""Signs of life between nodes, with counts, load and versions."""
+
+import asyncio
+import logging
+import random
+
+from chivelead_coordination import FleetQuota, Membership, Network
+from chivelead_policy import Admission
+from chivelead_protocol import ChiveleadError, Member, Pulse, now_ms
+
+from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.pressure import PressureTable
+from chivelead_node._internal.proxy.plan_feed import PlanFeed
+
+logger = logging.getLogger(__name__)
+
+# Counts may lag by one period: within a region links are cheap, beyond it
+# each byte is billed.
+_PERIOD_S = 0.4
+_FAR_PERIOD_S = 1.5
+_TIMEOUT_MS = 1000.0
+_SPREAD = 0.2
+
+
+class PulseTask:
+    """Exchange pulses with every other node, one task a peer.
+
+    Of two nodes, the one whose name sorts first asks, and the reply carries
+    the other's pulse.
+
+    Args:
+        membership: The nodes.
+        network: Links to them.
+        quota: Counts to tell and to learn.
+        feed: The plan in force.
+        admission: Load of the own target.
+        pressure: Learns the load of others.
+        events: Log of events.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        membership: Membership,
+        network: Network,
+        quota: FleetQuota,
+        feed: PlanFeed,
+        admission: Admission,
+        pressure: PressureTable,
+        events: EventLog,
+    ) -> None:
+        """Start without peers."""
+        self._membership = membership
+        self._network = network
+        self._quota = quota
+        self._feed = feed
+        self._admission = admission
+        self._pressure = pressure
+        self._events = events
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._urgent: set[asyncio.Task[None]] = set()
+        self._heard: dict[str, float] = {}
+
+    async def start(self) -> None:
+        """Begin with the peers that are known."""
+        self._membership.listen(self._note_member)
+        for member in self._membership.alive():
+            self._note_member(member)
+
+    async def close(self) -> None:
+        """Stop."""
+        for task in (*self._tasks.values(), *self._urgent):
+            task.cancel()
+
+    def heard_ms(self, vm: str) -> float:
+        """Return when a node was last heard, by the loop's clock."""
+        return self._heard.get(vm, float('-inf'))
+
+    def answer(self, vm: str, pulse: Pulse) -> Pulse:
+        """Take in the pulse of a peer and return the own one."""
+        self._learn(vm, pulse)
+        return self._own_pulse()
+
+    async def tell_all(self) -> None:
+        """Send a pulse to every peer now, since something has changed."""
+        own_vm = self._membership.own.vm
+        await asyncio.gather(
+            *(
+                self._exchange(member.vm)
+                for member in self._membership.alive()
+                if member.vm != own_vm
+            ),
+        )
+
+    def tell_soon(self) -> None:
+        """Send a pulse to every peer without waiting for it."""
+        task = asyncio.create_task(self.tell_all())
+        self._urgent.add(task)
+        task.add_done_callback(self._urgent.discard)
+
+    def _note_member(self, member: Member) -> None:
+        own = self._membership.own
+        if member.vm == own.vm:
+            return
+        task = self._tasks.get(member.vm)
+        if not member.alive:
+            self._quota.forget(member.vm)
+            if task is not None:
+                self._tasks.pop(member.vm).cancel()
+        elif task is None and own.vm < member.vm:
+            self._tasks[member.vm] = asyncio.create_task(
+                self._exchange_forever(member),
+            )
+
+    async def _exchange_forever(self, member: Member) -> None:
+        is_near = member.region == self._membership.own.region
+        period_s = _PERIOD_S if is_near else _FAR_PERIOD_S
+        while True:
+            await self._exchange(member.vm)
+            spread_s = period_s * _SPREAD * random.random()  # noqa: S311
+            await asyncio.sleep(period_s + spread_s)
+
+    async def _exchange(self, vm: str) -> None:
+        try:
+            reply = await self._network.request(
+                vm,
+                self._own_pulse(),
+                _TIMEOUT_MS,
+            )
+        except ChiveleadError as error:
+            logger.debug('pulse to %s: %s', vm, error)
+            return
+        if isinstance(reply, Pulse):
+            self._learn(vm, reply)
+
+    def _own_pulse(self) -> Pulse:
+        pressure = self._admission.pressure()
+        return Pulse(
+            member=self._membership.own,
+            plan_version=self._feed.current.version,
+            counts=self._quota.report(),
+            shed_level=float(pressure.shed_level),
+            load=pressure.load,
+        )
+
+    def _learn(self, vm: str, pulse: Pulse) -> None:
+        if self.heard_ms(vm) == float('-inf'):
+            self._events.node('peer-heard', peer=vm)
+        self._heard[vm] = now_ms()
+        known = self._membership.find(vm)
+        if known is not None and not known.alive:
+            self._events.node('peer-back', peer=vm)
+        self._membership.hear(pulse.member)
+        self._quota.learn(vm, pulse.counts)
+        self._pressure.note_load(vm, pulse.shed_level, pulse.load)
+        self._feed.hear_version(vm, pulse.plan_version)
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -3,9 +3,11 @@
 import asyncio
 import dataclasses
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
+import yarl
 from chivelead_protocol import Headers, TargetState, now_ms
 
 logger = logging.getLogger(__name__)
@@ -116,6 +118,14 @@
         if old_session is not None:
             await old_session.close()
 
+    def close_for_new_work(self) -> None:
+        """Take the target for one that is leaving."""
+        if self.announcement is not None:
+            self.announcement = dataclasses.replace(
+                self.announcement,
+                state=TargetState.draining,
+            )
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
@@ -127,9 +137,17 @@
         path: str,
         headers: Headers,
         body: bytes,
+        check: Callable[[int, Headers], None],
     ) -> TargetAnswer:
         """Send one request to the target and return its whole answer.
 
+        Args:
+            method: HTTP method.
+            path: Path and query, encoded as the caller sent them.
+            headers: All headers of the request.
+            body: Whole body.
+            check: Raises TargetFailedError for a head that is not accepted.
+
         Raises:
             TargetFailedError: There is no whole answer.
         """
@@ -140,16 +158,23 @@
         try:
             async with session.request(
                 method,
-                f'http://{announcement.host}:{announcement.port}{path}',
+                yarl.URL(
+                    f'http://{announcement.host}:{announcement.port}{path}',
+                    encoded=True,
+                ),
                 headers=headers,
                 data=body or None,
                 allow_redirects=False,
             ) as answer:
-                return TargetAnswer(
-                    answer.status,
-                    tuple(answer.headers.items()),
-                    await self._read(answer),
-                )
+                heads = tuple(answer.headers.items())
+                try:
+                    check(answer.status, heads)
+                except TargetFailedError:
+                    # What follows on this connection belongs to nobody.
+                    answer.close()
+                    raise
+                body = await self._read(answer)
+                return TargetAnswer(answer.status, heads, body)
         except aiohttp.ClientConnectorError as error:
             raise TargetFailedError(str(error), ran=False) from error
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
--- /dev/null
+++ b/packages/platform/src/chivelead_platform/__init__.py
@@ -0,0 +1,22 @@
+"""The one place that knows the platform's names, formats and calls."""
+
+from chivelead_platform._internal.announcements import Question as Question
+from chivelead_platform._internal.announcements import classify as classify
+from chivelead_platform._internal.announcements import parse_news as parse_news
+from chivelead_platform._internal.edits import PLAN_KEY as PLAN_KEY
+from chivelead_platform._internal.edits import parse_plan as parse_plan
+from chivelead_platform._internal.headers import HEADERS as HEADERS
+from chivelead_platform._internal.process_settings import Address as Address
+from chivelead_platform._internal.process_settings import (
+    FleetBounds as FleetBounds,
+)
+from chivelead_platform._internal.process_settings import (
+    ProcessSettings as ProcessSettings,
+)
+from chivelead_platform._internal.process_settings import (
+    load_process_settings as load_process_settings,
+)
+from chivelead_platform._internal.process_settings import (
+    parse_process_settings as parse_process_settings,
+)
+from chivelead_platform._internal.store import PlatformStore as PlatformStore
--- /dev/null
+++ b/packages/platform/src/chivelead_platform/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the adapter."""
--- /dev/null
+++ b/packages/platform/src/chivelead_platform/_internal/announcements.py
@@ -0,0 +1,70 @@
+"""What targets say of themselves to the node beside them."""
+
+import enum
+
+import orjson
+from chivelead_config import TargetNews
+from chivelead_protocol import ConfigurationError, TargetState
+
+from chivelead_platform._internal.values import FieldReader
+
+_READY_PATH = '/api/ready'
+_CALL_PATH = '/api/rpc'
+_STATES = {
+    'ready': TargetState.ready,
+    'draining': TargetState.draining,
+}
+
+
+class Question(enum.StrEnum):
+    """What the platform or a target wants of a node."""
+
+    readiness = 'readiness'
+    announcement = 'announcement'
+    departure = 'departure'
+    unknown = 'unknown'
+
+
+def classify(method: str, path: str, call: str) -> Question:
+    """Tell what a request on a node's own addresses asks for."""
+    if (method, path) == ('GET', _READY_PATH):
+        return Question.readiness
+    if (method, path) != ('POST', _CALL_PATH):
+        return Question.unknown
+    return {
+        'instances.heartbeat': Question.announcement,
+        'instances.deregister': Question.departure,
+    }.get(call, Question.unknown)
+
+
+def parse_news(target_id: str, text: bytes) -> TargetNews:
+    """Return the announcement in a body.
+
+    Raises:
+        ConfigurationError: A field is missing or wrong; says which.
+    """
+    try:
+        raw = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise ConfigurationError('read announcement', str(error)) from error
+    news = FieldReader('announcement', raw)
+    facts = news.table('info')
+    status = news.table('status')
+    state = _STATES.get(status.text('state'))
+    host, _, port = news.text('address').rpartition(':')
+    if state is None or not host or not port.isdigit() or not target_id:
+        raise ConfigurationError(
+            'read announcement',
+            'the identity, state or address is not valid',
+        )
+    return TargetNews(
+        target_id=target_id,
+        started_ms=news.count('born', 0),
+        sequence=status.count('seq'),
+        service=facts.text('service'),
+        host=host,
+        port=int(port),
+        slots=max(1, facts.count('slots')),
+        state=state,
+        warmup_left_ms=status.number('warmup_left_ms', 0),
+    )
--- /dev/null
+++ b/packages/platform/src/chivelead_platform/_internal/process_settings.py
@@ -0,0 +1,184 @@
+"""Settings that the platform hands to a process, decoded once."""
+
+import dataclasses
+import os
+import pathlib
+import tomllib
+from collections.abc import Mapping
+
+from chivelead_protocol import ConfigurationError
+
+from chivelead_platform._internal.values import FieldReader
+
+SETTINGS_VARIABLE = 'CHIVELEAD_CONFIG'
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Return the address in ``HOST:PORT``.
+
+        Raises:
+            ConfigurationError: It is none.
+        """
+        host, _, port = text.rpartition(':')
+        if not host or not port.isdigit():
+            raise ConfigurationError(
+                f'read address {text!r:.60}',
+                'expected HOST:PORT',
+            )
+        return cls(host, int(port))
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreTerms:
+    """Where the store is and what it grants."""
+
+    address: Address
+    lease_least_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetBounds:
+    """Bounds that the deployment sets for all nodes together.
+
+    Attributes:
+        grace_ms: Time from SIGTERM to SIGKILL.
+        retry_ratio: Part of a service's requests that may be repeats.
+        retry_window_ms: Window over which repeats are counted.
+        retry_slack: Repeats allowed in a window besides the ratio.
+    """
+
+    grace_ms: float
+    retry_ratio: float
+    retry_window_ms: float
+    retry_slack: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ProcessSettings:
+    """What a process learns of its VM, its target and the fleet.
+
+    Attributes:
+        vm: Name of the VM's slot.
+        own_service: Service whose target runs on this VM.
+        target_address: Where that target listens.
+        callers_address: Where callers and the target send requests.
+        probes_address: Where the platform asks for readiness.
+        announcements_address: Where the target announces itself.
+        peer_port: Port for links between nodes.
+        regions: Failure domain to region.
+        first_start: Whether the fleet starts for the first time.
+        announce_period_ms: Time between announcements of a target.
+    """
+
+    vm: str
+    host: str
+    failure_domain: str
+    region: str
+    own_service: str
+    target_address: Address
+    callers_address: Address
+    probes_address: Address
+    announcements_address: Address
+    peer_port: int
+    regions: Mapping[str, str]
+    first_start: bool
+    announce_period_ms: float
+    memory_limit_mb: float
+    store: StoreTerms
+    bounds: FleetBounds
+
+
+def load_process_settings() -> ProcessSettings:
+    """Read the file that the environment names.
+
+    Raises:
+        ConfigurationError: There is none, or it is not valid.
+    """
+    name = os.environ.get(SETTINGS_VARIABLE, '')
+    if not name:
+        raise ConfigurationError(
+            'read settings',
+            f'{SETTINGS_VARIABLE} is not set',
+            'it holds the path of the settings file',
+        )
+    try:
+        text = pathlib.Path(name).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigurationError(
+            f'read settings {name}',
+            str(error),
+        ) from error
+    return parse_process_settings(text)
+
+
+def parse_process_settings(text: str) -> ProcessSettings:
+    """Decode the text of a settings file.
+
+    Raises:
+        ConfigurationError: A field is missing or wrong; says which.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigurationError('read settings', str(error)) from error
+    settings = FieldReader('settings', raw)
+    own = settings.table('self')
+    network = settings.table('network')
+    listen = network.table('listen')
+    platform = settings.table('platform')
+    inner_ports = network.entries('internal_ports')
+    if not inner_ports or not isinstance(inner_ports[0], int):
+        raise ConfigurationError(
+            'settings.network.internal_ports',
+            'expected two port numbers',
+        )
+    return ProcessSettings(
+        vm=own.text('node'),
+        host=own.text('ip'),
+        failure_domain=own.text('zone'),
+        region=own.text('region', ''),
+        own_service=own.text('service'),
+        target_address=Address.parse(own.text('app_addr')),
+        # For callers this is the way in; the platform names it from the
+        # point of view of the target.
+        callers_address=Address.parse(listen.text('outbound')),
+        probes_address=Address.parse(listen.text('readiness')),
+        announcements_address=Address.parse(listen.text('admin')),
+        peer_port=inner_ports[0],
+        regions=_regions(raw),
+        first_start=own.flag('bootstrap'),
+        announce_period_ms=platform.number('heartbeat_ms', 1500),
+        memory_limit_mb=own.table('limits').number('memory_mb', 300),
+        store=_store_terms(platform.table('platform')),
+        bounds=_bounds(settings.table('terms').table('bounds')),
+    )
+
+
+def _regions(raw: object) -> Mapping[str, str]:
+    zones = FieldReader('settings', raw).table('network').table('zones')
+    return {name: zones.text(name) for name in zones.names()}
+
+
+def _store_terms(store: FieldReader) -> StoreTerms:
+    return StoreTerms(
+        address=Address.parse(store.text('address')),
+        lease_least_ms=store.count('ttl_min_ms', 1000),
+    )
+
+
+def _bounds(bounds: FieldReader) -> FleetBounds:
+    ms_per_s = 1000
+    return FleetBounds(
+        grace_ms=bounds.number('grace_s', 6) * ms_per_s,
+        retry_ratio=bounds.number('retry_budget_ratio', 0.2),
+        retry_window_ms=bounds.number('retry_window_s', 10) * ms_per_s,
+        retry_slack=bounds.number('budget_slack', 0),
+    )
--- /dev/null
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -0,0 +1,278 @@
+"""Client of the platform's key-value store."""
+
+import asyncio
+import base64
+import binascii
+from typing import Any
+
+import aiohttp
+import orjson
+from chivelead_coordination import (
+    Change,
+    Changes,
+    Listing,
+    StoredValue,
+    WatchableStore,
+    Write,
+)
+from chivelead_protocol import (
+    ConfigurationError,
+    HistoryLostError,
+    LeaseEndedError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+
+from chivelead_platform._internal.process_settings import Address
+from chivelead_platform._internal.values import FieldReader
+
+_MS_PER_S = 1000
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONDITION_FAILED = 412
+_FORBIDDEN = 403
+# Time for the answer to travel back after the wait of a watch has ended.
+_WATCH_GRACE_MS = 1000
+_Query = dict[str, str]
+
+
+class PlatformStore(WatchableStore):
+    """Talk to the store over HTTP and JSON.
+
+    Args:
+        address: Where the store listens.
+        timeout_ms: Time after which a call is given up.
+    """
+
+    def __init__(self, address: Address, timeout_ms: float) -> None:
+        """Prepare; ``start`` opens the session."""
+        self._url = f'http://{address.host}:{address.port}/api'
+        self._timeout_ms = timeout_ms
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(use_dns_cache=False),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self, key: str) -> StoredValue | None:
+        """Return a key, or None if it is absent."""
+        try:
+            reader = await self._call('GET', 'kv-key', query={'key': key})
+        except LeaseEndedError:
+            return None
+        return _decoded(_entry, reader)
+
+    async def read_prefix(self, prefix: str) -> tuple[StoredValue, ...]:
+        """Return all keys that start with ``prefix``, in order."""
+        return (await self.list_prefix(prefix)).entries
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Return all keys with a prefix and a revision to watch from."""
+        entries: list[StoredValue] = []
+        revision = 0
+        query = {'prefix': prefix}
+        while True:
+            page = await self._call('GET', 'kv-range', query=query)
+            items = _decoded(_entries, page)
+            # The first page is the oldest, so nothing is missed after it.
+            revision = revision or _decoded(_store_revision, page)
+            entries.extend(items)
+            if not items or not page.flag('has_more'):
+                return Listing(tuple(entries), revision)
+            query = {'prefix': prefix, 'after': items[-1].key}
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_ms: int,
+    ) -> Changes:
+        """Wait for changes of keys with a prefix after a revision."""
+        query = {
+            'prefix': prefix,
+            # Here this is a revision, and a key in listings.
+            'after': str(after_revision),
+            'wait_ms': str(wait_ms),
+        }
+        reader = await self._call(
+            'GET',
+            'kv-watch',
+            query=query,
+            timeout_ms=wait_ms + _WATCH_GRACE_MS,
+        )
+        return _decoded(_changes, reader)
+
+    async def watch(
+        self,
+        key: str,
+        seen_revision: int,
+        wait_ms: int,
+    ) -> StoredValue | None:
+        """Wait until a key is newer than ``seen_revision``."""
+        changes = await self.watch_prefix(key, seen_revision, wait_ms)
+        for change in reversed(changes.changes):
+            if change.key == key:
+                return change.entry
+        return None
+
+    async def write(self, write: Write) -> int:
+        """Write a key and return its new revision."""
+        row: dict[str, Any] = {
+            'key': write.key,
+            'value': base64.b64encode(write.text.encode()).decode(),
+        }
+        if write.lease_id:
+            row['lease'] = write.lease_id
+        conditions = []
+        if write.expected_revision is not None:
+            conditions = [_condition(write.key, write.expected_revision)]
+        reader = await self._change(conditions, writes=[row], deletes=[])
+        return _decoded(_revision, reader)
+
+    async def delete(self, key: str, expected_revision: int) -> None:
+        """Delete a key."""
+        await self._change(
+            [_condition(key, expected_revision)],
+            writes=[],
+            deletes=[key],
+        )
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Return a new lease."""
+        reader = await self._call('POST', 'kv-lease', body={'ttl_ms': ttl_ms})
+        return _decoded(_lease, reader)
+
+    async def keep_lease(self, lease_id: int) -> None:
+        """Start the time of a lease anew."""
+        await self._call('POST', f'kv-keep/{lease_id}', body={})
+
+    async def _change(
+        self,
+        conditions: list[dict[str, Any]],
+        *,
+        writes: list[dict[str, Any]],
+        deletes: list[str],
+    ) -> FieldReader:
+        return await self._call(
+            'POST',
+            'kv-txn',
+            body={
+                # Not the revision after the call, but the condition for it.
+                'expected_revision': conditions,
+                'writes': writes,
+                'deletes': deletes,
+            },
+        )
+
+    async def _call(
+        self,
+        method: str,
+        operation: str,
+        *,
+        query: _Query | None = None,
+        body: Any = None,
+        timeout_ms: float = 0,
+    ) -> FieldReader:
+        if self._session is None:
+            raise StoreUnavailableError(operation, 'the client is closed')
+        limit_s = (timeout_ms or self._timeout_ms) / _MS_PER_S
+        try:
+            async with self._session.request(
+                method,
+                f'{self._url}/{operation}',
+                params=query,
+                data=None if body is None else orjson.dumps(body),
+                headers={'Content-Type': 'application/json'},
+                timeout=aiohttp.ClientTimeout(total=limit_s),
+            ) as answer:
+                text = await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            raise StoreUnavailableError(
+                f'{operation} at the store',
+                str(error) or type(error).__name__,
+                'a write may have taken effect',
+            ) from error
+        _check_status(operation, status)
+        return _reader(operation, text)
+
+
+def _check_status(operation: str, status: int) -> None:
+    if status == _OK:
+        return
+    if status == _CONDITION_FAILED:
+        raise StoreConflictError(operation, 'a key has another revision')
+    if status == _NOT_FOUND:
+        raise LeaseEndedError(operation, 'no such key or lease')
+    if status == _GONE:
+        raise HistoryLostError(operation, 'the revision is too old')
+    if status == _FORBIDDEN:
+        raise StoreError(operation, 'the key may not be written')
+    raise StoreUnavailableError(operation, f'status {status}')
+
+
+def _reader(operation: str, text: bytes) -> FieldReader:
+    try:
+        return FieldReader(operation, orjson.loads(text or b'{}'))
+    except (orjson.JSONDecodeError, ConfigurationError) as error:
+        raise StoreUnavailableError(operation, f'bad answer: {error}') from error
+
+
+def _decoded(decode: Any, reader: FieldReader) -> Any:
+    try:
+        return decode(reader)
+    except (ConfigurationError, binascii.Error, UnicodeDecodeError) as error:
+        raise StoreUnavailableError('decode', f'bad answer: {error}') from error
+
+
+def _condition(key: str, revision: int) -> dict[str, Any]:
+    return {'key': key, 'revision': revision}
+
+
+def _entry(reader: FieldReader) -> StoredValue:
+    text = base64.b64decode(reader.text('value'), validate=True)
+    return StoredValue(
+        reader.text('key'),
+        text.decode(errors='replace'),
+        reader.count('revision'),
+    )
+
+
+def _entries(reader: FieldReader) -> list[StoredValue]:
+    return [
+        _entry(FieldReader('item', item)) for item in reader.entries('items')
+    ]
+
+
+def _changes(reader: FieldReader) -> Changes:
+    changes = []
+    for raw in reader.entries('events'):
+        event = FieldReader('event', raw)
+        deleted = event.flag('deleted')
+        changes.append(
+            Change(event.text('key'), None if deleted else _entry(event)),
+        )
+    return Changes(tuple(changes), _store_revision(reader))
+
+
+def _store_revision(reader: FieldReader) -> int:
+    return reader.count('store_revision')
+
+
+def _revision(reader: FieldReader) -> int:
+    return reader.count('revision')
+
+
+def _lease(reader: FieldReader) -> int:
+    return reader.count('lease')
--- a/packages/policy/src/chivelead_policy/__init__.py
+++ b/packages/policy/src/chivelead_policy/__init__.py
@@ -12,8 +12,13 @@
 )
 from chivelead_policy._internal.queues import QUEUES as QUEUES
 from chivelead_policy._internal.retries import RETRIES as RETRIES
+from chivelead_policy._internal.retries import (
+    FleetBudgetRetries as FleetBudgetRetries,
+)
+from chivelead_policy._internal.retries import RetryBudget as RetryBudget
 from chivelead_policy._internal.retries import FailedAttempt as FailedAttempt
 from chivelead_policy._internal.retries import RetryPolicy as RetryPolicy
 from chivelead_policy._internal.routing import ROUTERS as ROUTERS
 from chivelead_policy._internal.routing import Candidate as Candidate
 from chivelead_policy._internal.routing import Router as Router
+from chivelead_policy._internal.splits import WeightedSplit as WeightedSplit
--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -41,11 +41,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Applicant:
-    """What admission needs to know of a request."""
+    """What admission needs to know of a request.
+
+    Attributes:
+        deadline_ms: Time of the loop at which the caller gives up.
+        queue_limit_ms: Longest wait; zero for no bound but the deadline.
+    """
 
     organisation: str
     importance: int
     deadline_ms: float
+    queue_limit_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,9 +128,11 @@
         self._meter = _ShedMeter()
         self._deviation_ms = 0.0
 
-    def announce(self, slots: int) -> None:
-        """Take in the slots that the target claims."""
+    def announce(self, slots: int, *, warm: bool = False) -> None:
+        """Take in the slots that the target claims, and whether it is warm."""
         self._limit.announce(slots)
+        if warm:
+            self._limit.warm()
         self._wake()
 
     def pressure(self) -> Pressure:
@@ -176,6 +184,8 @@
         latest_ms = applicant.deadline_ms
         if self._shed_late:
             latest_ms -= self._time_needed_ms()
+        if applicant.queue_limit_ms:
+            latest_ms = min(latest_ms, now_ms() + applicant.queue_limit_ms)
         try:
             async with asyncio.timeout_at(latest_ms / 1000):  # noqa: WPS432
                 await waiter.admitted
--- a/packages/policy/src/chivelead_policy/_internal/limits.py
+++ b/packages/policy/src/chivelead_policy/_internal/limits.py
@@ -50,6 +50,9 @@
     def complete(self, completion: Completion) -> None:
         """Learn from a request that ended."""
 
+    def warm(self) -> None:
+        """Take the target for one that has served before."""
+
 
 @LIMITS.register('none')
 class NoLimit(ConcurrencyLimit):
@@ -98,8 +101,15 @@
         super().announce(slots)
         self._limit = min(self._limit, float(slots))
 
+    def warm(self) -> None:
+        """Start with all slots, for a target that has served before."""
+        self._limit = float(self._slots)
+
     def complete(self, completion: Completion) -> None:
         """Apply additive increase and multiplicative decrease."""
+        if completion.shed and completion.in_flight < self._limit / 2:
+            # With so few in flight this is a fault of the target, no overload.
+            return
         if completion.shed:
             reached = min(self._limit, float(completion.in_flight))
             self._known_good = max(1.0, reached * _SHED_FACTOR)
--- /dev/null
+++ b/packages/policy/src/chivelead_policy/_internal/splits.py
@@ -0,0 +1,30 @@
+"""Choice among the parts of a split by weight."""
+
+import bisect
+import itertools
+import random
+from collections.abc import Sequence
+
+# Multiples of the golden ratio spread evenly over the unit interval, so the
+# shares are met over few requests.
+_GOLDEN = 0.6180339887498949
+
+
+class WeightedSplit:
+    """Deal requests to parts in proportion to weights.
+
+    Args:
+        weights: At least one is above zero.
+        seed: Moves the start, so that nodes do not go in step.
+    """
+
+    def __init__(self, weights: Sequence[float], seed: int) -> None:
+        """Add up the weights."""
+        self._sums = list(itertools.accumulate(weights))
+        self._position = random.Random(seed).random()  # noqa: S311
+
+    def choose(self) -> int:
+        """Return the index of the part for the next request."""
+        self._position = (self._position + _GOLDEN) % 1
+        mark = self._position * self._sums[-1]
+        return bisect.bisect_right(self._sums, mark)
--- a/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
@@ -60,3 +60,11 @@
 
 class StoreConflictError(StoreError):
     """A compare-and-swap met a newer revision."""
+
+
+class LeaseEndedError(StoreConflictError):
+    """A key or lease that a call needs is no longer there."""
+
+
+class HistoryLostError(StoreError):
+    """The store has dropped the changes after a revision; list anew."""
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -37,13 +37,19 @@
 
 logger = logging.getLogger(__name__)
 
-PING_AFTER_MS = 800
+# An idle link costs bytes between regions, so it is asked seldom; the server
+# side gives up a link that stays silent for longer than SILENCE_MS.
+PING_AFTER_MS = 1200
 SILENCE_MS = 2400
+# With calls in flight a silent link costs their deadlines.
+BUSY_PING_AFTER_MS = 300
+BUSY_SILENCE_MS = 1000
 HANDSHAKE_TIMEOUT_MS = 1500
-FRAME_LIMIT_BYTES = 6 * 1024 * 1024
+# The largest body that the limits of callers allow, and room for headers.
+FRAME_LIMIT_BYTES = 72 * 1024 * 1024
 _NONCE_BYTES = 16
 _CLOSE_TIMEOUT_S = 0.2
-_CHECK_PERIOD_S = 0.4
+_CHECK_PERIOD_S = 0.2
 
 Answer = Callable[[str, Any], Awaitable[Any]]
 _Connection = ClientConnection | ServerConnection
@@ -87,6 +93,7 @@
         self._connection: ClientConnection | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._heard_ms = 0.0
+        self._busy_since_ms = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -147,6 +154,8 @@
         sequence = next(self._sequence)
         reply = asyncio.get_running_loop().create_future()
         self._replies[sequence] = reply
+        if not self.in_flight:
+            self._busy_since_ms = now_ms()
         self.in_flight += 1
         try:
             await self._write(sequence, body)
@@ -235,10 +244,15 @@
         while self._connection is connection:
             await asyncio.sleep(_CHECK_PERIOD_S)
             silent_ms = now_ms() - self._heard_ms
-            if silent_ms > SILENCE_MS:
+            busy_ms = min(silent_ms, now_ms() - self._busy_since_ms)
+            if silent_ms > SILENCE_MS or (
+                self.in_flight and busy_ms > BUSY_SILENCE_MS
+            ):
                 self._drop('silent')
                 connection.transport.abort()
-            elif silent_ms > PING_AFTER_MS:
+            elif silent_ms > PING_AFTER_MS or (
+                self.in_flight and busy_ms > BUSY_PING_AFTER_MS
+            ):
                 await self._ping(connection)
 
     async def _ping(self, connection: ClientConnection) -> None:
--- a/packages/protocol/src/chivelead_protocol/_internal/messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/messages.py
@@ -79,6 +79,7 @@
         importance: 0 (shed first) to 9 (shed last).
         idempotent: Whether the call may be repeated.
         retry_allowance: Retries lent to the calls below this one.
+        queue_limit_ms: Longest wait for admission; zero for no own bound.
     """
 
     request_id: str
@@ -93,6 +94,7 @@
     idempotent: bool
     timeout_ms: float
     retry_allowance: int
+    queue_limit_ms: float
 
 
 @message(11)
@@ -495,3 +497,52 @@
     """Ask a node to give its target no new work, or to resume."""
 
     draining: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PulseCounts:
+    """What one node has done for an organisation since it started.
+
+    Attributes:
+        asked: Requests that came, refused ones included.
+        admitted: Requests that were let in.
+    """
+
+    organisation: str
+    asked: int
+    admitted: int
+
+
+@message(70)
+@dataclasses.dataclass(frozen=True)
+class Pulse:
+    """Sign of life between nodes, with what changes all the time.
+
+    The reply to a pulse is the pulse of the other side.
+
+    Attributes:
+        plan_version: Version of the traffic plan in force at the sender.
+        shed_level: As in a call reply.
+        load: As in a call reply.
+    """
+
+    member: Member
+    plan_version: int
+    counts: tuple[PulseCounts, ...]
+    shed_level: float
+    load: float
+
+
+@message(71)
+@dataclasses.dataclass(frozen=True)
+class PlanPull:
+    """Ask for the text of the newest traffic plan that the peer holds."""
+
+
+@message(72)
+@dataclasses.dataclass(frozen=True)
+class PlanText:
+    """The text of a traffic plan; empty if there is none yet."""
+
+    version: int
+    text: str
