Check the service of a call at the target's node; share quotas by lagged demand

Quotas: in tests on the paused clock demand of five times the rate overdrew by 53 of a rate of 160, and nodes cut off by up to 953 of 100: each node took what its newest own demand allowed against old demands of others, and did not count that peers use up the burst too.

Change: the inbound side refuses a call for another service before anything is sent. Demands are averaged alike for the own node and peers, grow with the own one since a peer's last report, and peers are assumed to use their part of the burst. The proxy package is split into wiring, surfaces, state and probe.

Measured: test_fleet_quota.py 11 passed (6 failed before).

--- a/packages/config/src/chivelead_config/__init__.py
+++ b/packages/config/src/chivelead_config/__init__.py
@@ -33,4 +33,5 @@
 from chivelead_config._internal.traffic import RoutePart as RoutePart
 from chivelead_config._internal.traffic import TrafficPlan as TrafficPlan
 from chivelead_config._internal.edges import HeaderNames as HeaderNames
+from chivelead_config._internal.edges import Question as Question
 from chivelead_config._internal.edges import TargetNews as TargetNews
--- a/packages/config/src/chivelead_config/_internal/edges.py
+++ b/packages/config/src/chivelead_config/_internal/edges.py
@@ -1,6 +1,7 @@
 """What adapters tell the request path of callers and targets."""
 
 import dataclasses
+import enum
 
 from chivelead_protocol import TargetState
 
@@ -53,3 +54,12 @@
     slots: int
     state: TargetState
     warmup_left_ms: float
+
+
+class Question(enum.StrEnum):
+    """What the platform or a target wants of a node."""
+
+    readiness = 'readiness'
+    announcement = 'announcement'
+    departure = 'departure'
+    unknown = 'unknown'
--- a/packages/config/src/chivelead_config/_internal/traffic.py
+++ b/packages/config/src/chivelead_config/_internal/traffic.py
@@ -9,6 +9,9 @@
 
 IMPORTANCE_HIGHEST = 9
 
+# 64 MiB, as the operators set it at first.
+_BODY_LIMIT_BYTES = 67_108_864
+
 
 @dataclasses.dataclass(frozen=True)
 class RoutePart:
@@ -79,7 +82,7 @@
     """Bounds on what a caller may send, and how long it may take."""
 
     header_limit_bytes: int = 16_384
-    body_limit_bytes: int = 64 * 1024 * 1024
+    body_limit_bytes: int = _BODY_LIMIT_BYTES
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -9,19 +9,21 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from chivelead_protocol import PulseCounts, now_ms
 
 _MS_PER_S = 1000
-# One step of sharing out; nearby nodes report about twice as often as this.
+# One step of sharing out, about as long as nearby nodes take to report.
 _STEP_MS = 500.0
-# Weight of a new measurement of a demand, once a step.
-_DEMAND_WEIGHT = 0.4
+# A demand is averaged over this time.  The own demand is averaged like that of
+# peers: who knew the own surge sooner than theirs would take too much.
+_DEMAND_MEMORY_MS = 1500.0
 # Assumed demand of a node without any, so that its first requests pass.
 _DEMAND_LEAST_PER_S = 0.2
 # Chance brings a node more than its part; a full bucket can bear that.
-_SPARE_PART = 0.25
+_SPARE_PART = 0.2
 _SPARE_MOST = 4.0
 _RETRY_LEAST_MS = 100.0
 _RETRY_MOST_MS = 2000.0
@@ -37,19 +39,42 @@
 
 @dataclasses.dataclass
 class _PeerUse:
-    """What is known and assumed of one peer's use of one bucket."""
+    """What is known and assumed of one peer's use of one bucket.
+
+    Attributes:
+        asked: Count in its last report.
+        admitted: Count in its last report.
+        asked_per_s: Demand that its reports show.
+        own_asked_per_s: Own demand when it was last heard.
+        assumed: Requests that it is assumed to have admitted since.
+        assumed_per_s: Rate at which that grows.
+    """
 
     asked: int
     admitted: int
     heard_ms: float
     asked_per_s: float = 0
-    admitted_per_s: float = 0
+    own_asked_per_s: float = 0
     assumed: float = 0
+    assumed_per_s: float = 0
+    assumed_ms: float = 0
+
+    def settle(self, time_ms: float) -> None:
+        """Add what it is assumed to have admitted up to now."""
+        passed_s = (time_ms - self.assumed_ms) / _MS_PER_S
+        self.assumed += self.assumed_per_s * passed_s
+        self.assumed_ms = time_ms
+
+    def demand_per_s(self, own_per_s: float) -> float:
+        """Return its demand, grown since its report as the own one has."""
+        demand = max(_DEMAND_LEAST_PER_S, self.asked_per_s)
+        own_before = max(_DEMAND_LEAST_PER_S, self.own_asked_per_s)
+        return demand * max(1.0, own_per_s / own_before)
 
 
 @dataclasses.dataclass
 class _OwnUse:
-    """This node's use of one bucket."""
+    """This node's use of one bucket, in all and in the present step."""
 
     asked: int = 0
     admitted: int = 0
@@ -67,12 +92,13 @@
         self.level = rate.burst_requests
         self.own = _OwnUse()
         self.peers: dict[str, _PeerUse] = {}
+        self._others_per_s = 0.0
         self._tended_ms = now_ms()
         self._step_ms = 0.0
 
     def take(self) -> float:
         """Admit one request, or return how long to wait."""
-        self.tend()
+        self._tend(now_ms())
         own = self.own
         own.asked += 1
         own.step_asked += 1
@@ -85,69 +111,84 @@
             return 0
         return self._wait_ms()
 
-    def tend(self) -> None:
-        """Bring the level up to the present time."""
-        time_ms = now_ms()
-        passed_s = (time_ms - self._tended_ms) / _MS_PER_S
-        self._tended_ms = time_ms
-        self.level += self.rate.rate_per_s * passed_s
-        for peer in self.peers.values():
-            used = peer.admitted_per_s * passed_s
-            peer.assumed += used
-            self.level -= used
-        self.level = min(self.level, self.rate.burst_requests)
-        if time_ms - self._step_ms >= _STEP_MS:
-            self._begin_step(time_ms)
-
     def learn(self, vm: str, report: PulseCounts) -> None:
         """Replace what was assumed of a peer by what it says."""
-        self.tend()
         time_ms = now_ms()
+        self._tend(time_ms)
         known = self.peers.get(vm)
         if known is None or report.asked < known.asked:
             # A first report, or a restart of the peer: no past to charge.
-            self.peers[vm] = _PeerUse(report.asked, report.admitted, time_ms)
+            self.peers[vm] = _PeerUse(
+                report.asked,
+                report.admitted,
+                time_ms,
+                assumed_ms=time_ms,
+            )
+            return
+        passed_ms = time_ms - known.heard_ms
+        if passed_ms < 1:
             return
-        passed_s = max(_STEP_MS, time_ms - known.heard_ms) / _MS_PER_S
+        known.settle(time_ms)
         admitted = report.admitted - known.admitted
         self.level = min(
             self.level + known.assumed - admitted,
             self.rate.burst_requests,
         )
+        asked_per_s = (report.asked - known.asked) / passed_ms * _MS_PER_S
+        gap = asked_per_s - known.asked_per_s
+        known.asked_per_s += gap * _weight(passed_ms)
+        known.own_asked_per_s = self.own.asked_per_s
         known.assumed = 0
         known.heard_ms = time_ms
-        known.asked_per_s += _DEMAND_WEIGHT * (
-            (report.asked - known.asked) / passed_s - known.asked_per_s
-        )
-        known.admitted_per_s += _DEMAND_WEIGHT * (
-            admitted / passed_s - known.admitted_per_s
-        )
         known.asked = report.asked
         known.admitted = report.admitted
 
+    def _tend(self, time_ms: float) -> None:
+        """Bring the level up to the present time."""
+        passed_s = (time_ms - self._tended_ms) / _MS_PER_S
+        self._tended_ms = time_ms
+        gain = (self.rate.rate_per_s - self._others_per_s) * passed_s
+        self.level = min(self.level + gain, self.rate.burst_requests)
+        if time_ms - self._step_ms >= _STEP_MS:
+            self._begin_step(time_ms)
+
     def _begin_step(self, time_ms: float) -> None:
+        """Share out what is left, by demand."""
         own = self.own
-        passed_s = max(_STEP_MS, time_ms - self._step_ms) / _MS_PER_S
-        gap = own.step_asked / passed_s - own.asked_per_s
-        own.asked_per_s += _DEMAND_WEIGHT * gap
+        passed_ms = max(_STEP_MS, time_ms - self._step_ms)
+        gap = own.step_asked / passed_ms * _MS_PER_S - own.asked_per_s
+        own.asked_per_s += gap * _weight(passed_ms)
         own.step_asked = 0
         own.step_admitted = 0
-        demand = max(_DEMAND_LEAST_PER_S, own.asked_per_s)
-        total = demand + sum(
-            max(_DEMAND_LEAST_PER_S, peer.asked_per_s)
-            for peer in self.peers.values()
-        )
+        own_demand = max(_DEMAND_LEAST_PER_S, own.asked_per_s)
+        demands = {
+            vm: peer.demand_per_s(own_demand)
+            for vm, peer in self.peers.items()
+        }
+        total = own_demand + sum(demands.values())
         gain = self.rate.rate_per_s * _STEP_MS / _MS_PER_S
-        own.step_share = demand / total * (max(0.0, self.level) + gain)
+        free = max(0.0, self.level) + gain
+        # A peer admits what it is asked for, and no more than its part.
+        scale = min(1.0, free / _STEP_MS * _MS_PER_S / total)
+        self._others_per_s = 0
+        for vm, peer in self.peers.items():
+            peer.settle(time_ms)
+            peer.assumed_per_s = demands[vm] * scale
+            self._others_per_s += peer.assumed_per_s
+        own.step_share = own_demand / total * free
         self._step_ms = time_ms
 
     def _wait_ms(self) -> float:
         missing = max(1.0, 1 - self.level)
-        rate = max(1e-3, self.rate.rate_per_s)
-        wait_ms = missing / rate * _MS_PER_S
+        wait_ms = missing / self.rate.rate_per_s * _MS_PER_S
         return min(max(wait_ms, _RETRY_LEAST_MS), _RETRY_MOST_MS)
 
 
+def _weight(passed_ms: float) -> float:
+    """Return the weight of a measurement over some time."""
+    return 1 - math.exp(-passed_ms / _DEMAND_MEMORY_MS)
+
+
 class FleetQuota:
     """Admit requests of organisations within their rates."""
 
@@ -175,7 +216,7 @@
             Zero if it is admitted, else how long to wait, in milliseconds.
         """
         bucket = self._buckets.get(organisation)
-        return bucket.take() if bucket is not None else 0
+        return bucket.take() if bucket else 0
 
     def report(self) -> tuple[PulseCounts, ...]:
         """Return what this node has done since it started."""
@@ -200,4 +241,4 @@
     def level(self, organisation: str) -> float:
         """Return what the bucket of an organisation holds, for the log."""
         bucket = self._buckets.get(organisation)
-        return bucket.level if bucket is not None else 0
+        return bucket.level if bucket else 0
--- a/packages/coordination/src/chivelead_coordination/_internal/membership.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/membership.py
@@ -81,6 +81,10 @@
             self._groups[('failure_domain', failure_domain)] = group
         return group
 
+    def count_alive(self) -> int:
+        """Return the number of live members, this one included."""
+        return len(self.alive())
+
     def of_service(self, service: str) -> tuple[Member, ...]:
         """Return the live members whose targets belong to a service."""
         group = self._groups.get(('service', service))
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -23,7 +23,7 @@
 from chivelead_node._internal import calls
 from chivelead_node._internal.dialects import TargetDialect
 from chivelead_node._internal.events import EventLog
-from chivelead_node._internal.metrics import Metrics
+from chivelead_node._internal.metrics import CallMetrics
 from chivelead_node._internal.targets import (
     LocalTarget,
     TargetAnswer,
@@ -68,7 +68,7 @@
         target: LocalTarget,
         admission: Admission,
         events: EventLog,
-        metrics: Metrics,
+        metrics: CallMetrics,
         dialect: TargetDialect,
     ) -> None:
         """Start with nothing running."""
@@ -108,9 +108,7 @@
         try:
             return await self._run(request)
         finally:
-            self.in_flight -= 1
-            self._tasks.pop(request.attempt_id, None)
-            self._unstoppable.discard(request.attempt_id)
+            self._forget(request.attempt_id)
 
     def cancel(self, attempt_id: str) -> None:
         """Stop an attempt whose caller has gone, if that harms nothing."""
@@ -118,11 +116,15 @@
         if task is not None and attempt_id not in self._unstoppable:
             task.cancel()
 
-    def refuses_new_work(self) -> bool:
-        """Tell whether the target is leaving or not there."""
+    def refuses_new_work(self, service: str) -> bool:
+        """Tell whether no target of a service is here, or it is leaving."""
         announcement = self._target.announcement
         if self.draining or announcement is None:
             return True
+        # The VM may have gone to another service since the caller's node
+        # heard of it.
+        if announcement.service != service:
+            return True
         return announcement.state != TargetState.ready
 
     def _remember(self, attempt_id: str) -> None:
@@ -130,6 +132,11 @@
         if len(self._started) > _ATTEMPTS_REMEMBERED:
             self._started.pop(next(iter(self._started)))
 
+    def _forget(self, attempt_id: str) -> None:
+        self.in_flight -= 1
+        self._tasks.pop(attempt_id, None)
+        self._unstoppable.discard(attempt_id)
+
     async def _run(self, request: CallRequest) -> CallReply:
         allowance = calls.Allowance(request.retry_allowance)
         came_ms = now_ms()
@@ -159,7 +166,7 @@
         return await self._run_admitted(request, allowance, deadline_ms)
 
     async def _admit(self, request: CallRequest, deadline_ms: float) -> None:
-        if self.refuses_new_work():
+        if self.refuses_new_work(request.service):
             raise RefusedError(RefusalReason.draining)
         await self._admission.admit(
             Applicant(
--- a/packages/node/src/chivelead_node/_internal/lines.py
+++ b/packages/node/src/chivelead_node/_internal/lines.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections
+import json
 import os
 import re
 import sys
+import types
 from typing import Any
 
 import eliot
@@ -12,7 +14,9 @@
 
 # Lines of one kind that are written in a second; more are counted only.  The
 # sum over the kinds stays below 2% of a core at 10 us a line.
-_LINES_PER_S = {'served': 150, 'failed': 300, 'node': 200}
+_LINES_PER_S = types.MappingProxyType(
+    {'served': 150, 'failed': 300, 'node': 200},
+)
 _FLUSH_PERIOD_S = 0.1
 _TOLD_PERIOD_S = 5.0
 # Lines that wait while the reader is slow; about 1 MB.
@@ -68,7 +72,8 @@
             for name, field in entry.items()
             if name not in _QUIET_KEYS
         ]
-        self._lines.append(' '.join(fields).encode(errors='replace') + b'\n')
+        fields.append('\n')
+        self._lines.append(' '.join(fields).encode(errors='replace'))
 
     def _fits(self, kind: str) -> bool:
         second = int(now_ms() / _MS_PER_S)
@@ -122,6 +127,4 @@
     text = str(field)
     if _PLAIN.fullmatch(text):
         return text
-    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
-    escaped = escaped.replace('\n', '\\n').replace('\r', '\\r')
-    return f'"{escaped}"'
+    return json.dumps(text)
--- a/packages/node/src/chivelead_node/_internal/main.py
+++ b/packages/node/src/chivelead_node/_internal/main.py
@@ -10,12 +10,12 @@
 import defopt
 import uvloop
 from chivelead_config import Settings, load_settings
-from chivelead_platform import ProcessSettings, load_process_settings
+from chivelead_platform import load_process_settings
 from chivelead_protocol import ConfigurationError
 
 from chivelead_node._internal.daemon import NodeDaemon
 from chivelead_node._internal.events import write_events_to_stderr
-from chivelead_node._internal.proxy.daemon import ProxyDaemon
+from chivelead_node._internal.proxy.main import serve as serve_platform
 
 _EXIT_SETTINGS = 2
 _GC_THRESHOLD = 50_000
@@ -40,26 +40,6 @@
         sys.exit(_EXIT_SETTINGS)
 
 
-async def serve_platform(settings: ProcessSettings) -> None:
-    """Run a node on the platform until it is told to stop.
-
-    Raises:
-        ConfigurationError: A port is in use.
-    """
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    daemon = ProxyDaemon(settings)
-    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-    await daemon.start()
-    # Long-lived objects need no tracing; pauses stay short.
-    gc.freeze()
-    gc.set_threshold(_GC_THRESHOLD)
-    await stop.wait()
-    await daemon.close()
-
-
 async def serve(settings: Settings) -> None:
     """Run a node until it is told to stop.
 
--- a/packages/node/src/chivelead_node/_internal/metrics.py
+++ b/packages/node/src/chivelead_node/_internal/metrics.py
@@ -1,4 +1,6 @@
-"""Counters and timings by statsd."""
+"""Counters and timings: the interface, and statsd behind it."""
+
+import abc
 
 from chivelead_config import Settings
 from statsd import StatsClient
@@ -6,7 +8,19 @@
 _PREFIX = 'chivelead'
 
 
-class Metrics:
+class CallMetrics(abc.ABC):
+    """What the parts on the path of calls count."""
+
+    @abc.abstractmethod
+    def count(self, name: str) -> None:
+        """Count one event."""
+
+    @abc.abstractmethod
+    def timing(self, name: str, elapsed_ms: float) -> None:
+        """Record a duration."""
+
+
+class Metrics(CallMetrics):
     """Send metrics to statsd, or nowhere when none is set.
 
     Args:
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/__main__.py
@@ -0,0 +1,5 @@
+"""Run the node as ``python -m chivelead_node._internal.proxy``."""
+
+from chivelead_node._internal.proxy.main import main
+
+main()
--- a/packages/node/src/chivelead_node/_internal/proxy/dialect.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/dialect.py
@@ -1,14 +1,14 @@
 """The headers of the platform between a node and its target."""
 
-from collections.abc import Callable
-
 from chivelead_config import HeaderNames
 from chivelead_protocol import CallRequest, Headers
 
 from chivelead_node._internal.dialects import TargetDialect
+from chivelead_node._internal.proxy.registration import TargetRegistration
 from chivelead_node._internal.targets import TargetAnswer, TargetFailedError
 
-_SUCCESS = range(200, 300)
+_SUCCESS_CLASS = 2
+_CLASS_SIZE = 100
 
 
 class PlatformDialect(TargetDialect):
@@ -16,17 +16,17 @@
 
     Args:
         names: Names of the headers.
-        target_id: Returns the identity of the target at present.
+        registration: Knows the identity of the target.
     """
 
     def __init__(
         self,
         names: HeaderNames,
-        target_id: Callable[[], str],
+        registration: TargetRegistration,
     ) -> None:
         """Keep the names."""
         self._names = names
-        self._target_id = target_id
+        self._registration = registration
 
     def request_headers(
         self,
@@ -38,7 +38,7 @@
         names = self._names
         own = (
             (names.time_left_ms, str(max(1, int(left_ms)))),
-            (names.expected_target, self._target_id()),
+            (names.expected_target, self._registration.target_id),
         )
         if request.organisation:
             return (*own, (names.organisation, request.organisation))
@@ -46,7 +46,7 @@
 
     def is_refusal(self, answer: TargetAnswer) -> bool:
         """Tell whether the answer says that the request has not run."""
-        if answer.status in _SUCCESS:
+        if _is_success(answer.status):
             return False
         return _find(answer.headers, self._names.not_run) is not None
 
@@ -58,10 +58,14 @@
         if _find(heads, 'Content-Encoding') is not None:
             raise TargetFailedError('the body is encoded', ran=True)
         is_stamped = _find(heads, names.answer_stamp) is not None
-        if status in _SUCCESS and not is_stamped:
+        if _is_success(status) and not is_stamped:
             raise TargetFailedError('a success without its stamp', ran=True)
 
 
+def _is_success(status: int) -> bool:
+    return status // _CLASS_SIZE == _SUCCESS_CLASS
+
+
 def _find(heads: Headers, name: str) -> str | None:
     wanted = name.lower()
     for head, text in heads:
--- a/packages/node/src/chivelead_node/_internal/proxy/directory.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/directory.py
@@ -193,7 +193,7 @@
         try:
             member = _parse_member(text)
         except (ValueError, TypeError) as error:
-            self._events.node('bad-entry', why=str(error)[:80])
+            self._events.node('bad-entry', why=str(error))
             return
         self._membership.hear(member)
 
@@ -224,13 +224,26 @@
         raise TypeError('the entry is no object')
     raw['shares'] = tuple(raw.get('shares', ()))
     member = Member(**raw)
-    for field in dataclasses.fields(member):
-        expected = type(getattr(_EXAMPLE, field.name))
-        if not isinstance(getattr(member, field.name), expected):
-            raise TypeError(f'{field.name}: expected {expected.__name__}')
+    for name, example in dataclasses.asdict(_EXAMPLE).items():
+        if not isinstance(getattr(member, name), type(example)):
+            raise TypeError(f'{name}: expected as in {example!r}')
     return member
 
 
-_EXAMPLE = Member('', '', 0, 0, False, False, '', 0, '', '', '', '', 0, 0, ())
-
-
+_EXAMPLE = Member(
+    vm='',
+    boot_id='',
+    incarnation=0,
+    version=0,
+    alive=False,
+    relay=False,
+    host='',
+    peer_port=0,
+    failure_domain='',
+    region='',
+    service='',
+    target_state='',
+    target_slots=0,
+    target_connections=0,
+    shares=(),
+)
--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -279,16 +279,16 @@
         self,
         request_id: str,
         arrived_ms: float,
-        result: str,
+        ending: str,
         **fields: object,
     ) -> None:
         elapsed_ms = now_ms() - arrived_ms
-        self._metrics.answered(result, elapsed_ms)
+        self._metrics.answered(ending, elapsed_ms)
         self._events.decision(
-            'served' if result == 'answered' else 'failed',
+            'served' if ending == 'answered' else 'failed',
             'request-ended',
             request_id,
-            result=result,
+            ending=ending,
             elapsed_ms=round(elapsed_ms, 1),
             plan=self._plan.version if self._plan else 0,
             **fields,
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/main.py
@@ -0,0 +1,48 @@
+"""Run a node with the settings that the platform names.
+
+This entry leaves out the command line and what it imports: the platform sets
+everything by its settings file, and each node pays for its memory.
+"""
+
+import asyncio
+import gc
+import signal
+import sys
+
+import uvloop
+from chivelead_platform import ProcessSettings, load_process_settings
+from chivelead_protocol import ConfigurationError
+
+from chivelead_node._internal.proxy.daemon import ProxyDaemon
+
+_EXIT_SETTINGS = 2
+_GC_THRESHOLD = 50_000
+
+
+async def serve(settings: ProcessSettings) -> None:
+    """Run a node until SIGTERM or SIGINT.
+
+    Raises:
+        ConfigurationError: A port is in use.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = ProxyDaemon(settings)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    await daemon.start()
+    # Long-lived objects need no tracing; pauses stay short.
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
+    await stop.wait()
+    await daemon.close()
+
+
+def main() -> None:
+    """Read the settings and run."""
+    try:
+        uvloop.run(serve(load_process_settings()))
+    except ConfigurationError as error:
+        sys.stderr.write(f'chivelead-node: {error}\n')
+        sys.exit(_EXIT_SETTINGS)
--- a/packages/node/src/chivelead_node/_internal/proxy/metrics.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/metrics.py
@@ -3,12 +3,14 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from chivelead_node._internal.metrics import CallMetrics
+
 _MS_PER_S = 1000
 # From the fastest read to the longest deadline of the deployments.
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
 
-class ProxyMetrics:
+class ProxyMetrics(CallMetrics):
     """Metrics of one node."""
 
     def __init__(self) -> None:
@@ -16,14 +18,14 @@
         self.registry = CollectorRegistry()
         self._ended = Counter(
             'chivelead_requests',
-            'Requests that ended at this entry, by result.',
-            ['result'],
+            'Requests that ended at this entry, by ending.',
+            ['ending'],
             registry=self.registry,
         )
         self._latency = Histogram(
             'chivelead_request_seconds',
             'Time from arrival to the answer at this entry.',
-            ['result'],
+            ['ending'],
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
@@ -46,10 +48,10 @@
             registry=self.registry,
         )
 
-    def answered(self, result: str, elapsed_ms: float) -> None:
+    def answered(self, ending: str, elapsed_ms: float) -> None:
         """Count a request that ended at this entry."""
-        self._ended.labels(result).inc()
-        self._latency.labels(result).observe(elapsed_ms / _MS_PER_S)
+        self._ended.labels(ending).inc()
+        self._latency.labels(ending).observe(elapsed_ms / _MS_PER_S)
 
     def count(self, name: str) -> None:
         """Count one event."""
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/parts.py
@@ -0,0 +1,211 @@
+"""The parts of a node on the platform, wired together."""
+
+import dataclasses
+import random
+import secrets
+import time
+
+from chivelead_coordination import FleetQuota, Membership
+from chivelead_platform import (
+    HEADERS,
+    PLAN_KEY,
+    PlatformStore,
+    ProcessSettings,
+    classify,
+    parse_news,
+    parse_plan,
+)
+from chivelead_policy import (
+    LIMITS,
+    QUEUES,
+    ROUTERS,
+    Admission,
+    FleetBudgetRetries,
+    RetryBudget,
+)
+from chivelead_protocol import HybridClock, Member, TargetState
+
+from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.inbound import InboundCalls
+from chivelead_node._internal.links import LinkPool
+from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.pressure import PressureTable
+from chivelead_node._internal.proxy.dialect import PlatformDialect
+from chivelead_node._internal.proxy.directory import FleetDirectory
+from chivelead_node._internal.proxy.entry import ProxyEntry
+from chivelead_node._internal.proxy.metrics import ProxyMetrics
+from chivelead_node._internal.proxy.plan_feed import PlanFeed
+from chivelead_node._internal.proxy.probe import TargetProbe
+from chivelead_node._internal.proxy.pulses import PulseTask
+from chivelead_node._internal.proxy.registration import TargetRegistration
+from chivelead_node._internal.proxy.surfaces import SurfaceDialect
+from chivelead_node._internal.proxy.target_state import TargetPublisher
+from chivelead_node._internal.targets import LocalTarget
+
+# The platform has no secret to hand to its processes, and a node that starts
+# while the store is away must be able to join its peers.
+LINK_SECRET = b''
+
+SURFACES = SurfaceDialect(classify, parse_news)
+
+# The store answers in 4 ms, and in some hundred when it is slow.
+_STORE_TIMEOUT_MS = 1000.0
+_EVENTS_KEPT = 2000
+# 64 MiB, the bound for bodies of callers.
+_ANSWER_LIMIT_BYTES = 67_108_864
+_BOOT_BYTES = 8
+_SEED_BITS = 32
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class ProxyParts:
+    """Everything that a node consists of."""
+
+    clock: HybridClock
+    events: EventLog
+    metrics: ProxyMetrics
+    membership: Membership
+    links: LinkPool
+    store: PlatformStore
+    quota: FleetQuota
+    admission: Admission
+    target: LocalTarget
+    registration: TargetRegistration
+    inbound: InboundCalls
+    entry: ProxyEntry
+    feed: PlanFeed
+    pulses: PulseTask
+    directory: FleetDirectory
+    publisher: TargetPublisher
+    probe: TargetProbe
+
+
+def build_parts(settings: ProcessSettings) -> ProxyParts:
+    """Create the parts of a node; nothing is started yet."""
+    clock = HybridClock()
+    events = EventLog(settings.vm, clock, _EVENTS_KEPT, log_calls=False)
+    metrics = ProxyMetrics()
+    membership = Membership(_first_entry(settings))
+    links = LinkPool(membership, LINK_SECRET, clock)
+    store = PlatformStore(settings.store.address, _STORE_TIMEOUT_MS)
+    quota = FleetQuota()
+    admission = Admission(
+        LIMITS.find('adaptive')(),
+        QUEUES.find('importance-fair')(),
+    )
+    target = LocalTarget(_ANSWER_LIMIT_BYTES)
+    registration = TargetRegistration(
+        target,
+        admission,
+        events,
+        settings.announce_period_ms,
+    )
+    inbound = InboundCalls(
+        target,
+        admission,
+        events,
+        metrics,
+        PlatformDialect(HEADERS, registration),
+    )
+    pressure = PressureTable(random.getrandbits(_SEED_BITS))
+    outbound = OutboundCalls(
+        membership,
+        links,
+        inbound.answer,
+        inbound.cancel,
+        ROUTERS.find('nearest-two')(random.getrandbits(_SEED_BITS)),
+        _retries(settings, membership),
+        events,
+        pressure,
+    )
+    feed = PlanFeed(store, PLAN_KEY, parse_plan, links, events)
+    pulses = PulseTask(
+        membership,
+        links,
+        quota,
+        feed,
+        admission,
+        pressure,
+        events,
+    )
+    publisher = TargetPublisher(
+        settings.own_service,
+        registration,
+        inbound,
+        membership,
+        feed.in_force,
+        events,
+    )
+    address = settings.target_address
+    return ProxyParts(
+        clock=clock,
+        events=events,
+        metrics=metrics,
+        membership=membership,
+        links=links,
+        store=store,
+        quota=quota,
+        admission=admission,
+        target=target,
+        registration=registration,
+        inbound=inbound,
+        entry=ProxyEntry(
+            HEADERS,
+            settings.own_service,
+            outbound,
+            quota,
+            events,
+            metrics,
+        ),
+        feed=feed,
+        pulses=pulses,
+        directory=FleetDirectory(store, membership, pulses.heard_ms, events),
+        publisher=publisher,
+        probe=TargetProbe(
+            HEADERS,
+            (address.host, address.port),
+            settings.own_service,
+            feed,
+            registration,
+            publisher,
+            events,
+        ),
+    )
+
+
+def _retries(
+    settings: ProcessSettings,
+    membership: Membership,
+) -> FleetBudgetRetries:
+    bounds = settings.bounds
+    return FleetBudgetRetries(
+        RetryBudget(
+            bounds.retry_ratio,
+            bounds.retry_window_ms,
+            bounds.retry_slack,
+        ),
+        membership.count_alive,
+    )
+
+
+def _first_entry(settings: ProcessSettings) -> Member:
+    region = settings.regions.get(settings.failure_domain, '')
+    return Member(
+        vm=settings.vm,
+        boot_id=secrets.token_hex(_BOOT_BYTES),
+        # Later starts in this slot go before earlier ones.
+        incarnation=int(time.time() * _MS_PER_S),
+        version=1,
+        alive=True,
+        relay=False,
+        host=settings.host,
+        peer_port=settings.peer_port,
+        failure_domain=settings.failure_domain,
+        region=settings.region or region,
+        service='',
+        target_state=str(TargetState.gone),
+        target_slots=0,
+        target_connections=0,
+        shares=(),
+    )
--- a/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -70,6 +70,10 @@
             if task is not None:
                 task.cancel()
 
+    def in_force(self) -> TrafficPlan:
+        """Return the plan in force."""
+        return self.current
+
     def listen(self, listener: Listener) -> None:
         """Call ``listener`` with each plan that comes into force."""
         self._listeners.append(listener)
@@ -131,7 +135,7 @@
         try:
             plan = self._parse(text.encode())
         except ConfigurationError as error:
-            self._events.node('bad-plan', source=source, why=str(error)[:200])
+            self._events.node('bad-plan', source=source, why=str(error))
             return
         if plan.version <= self.current.version:
             return
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/probe.py
@@ -0,0 +1,96 @@
+"""Find a target that was there before this process."""
+
+import asyncio
+
+import aiohttp
+from chivelead_config import HeaderNames, TargetNews
+from chivelead_protocol import TargetState
+
+from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.plan_feed import PlanFeed
+from chivelead_node._internal.proxy.registration import TargetRegistration
+from chivelead_node._internal.proxy.target_state import TargetPublisher
+
+_TIMEOUT_S = 0.5
+# A probe takes a slot of the target; announcements come after 1.5 s anyway.
+_PERIOD_S = 0.3
+_OK = 200
+
+
+class TargetProbe:
+    """Ask the target itself until it or an announcement answers.
+
+    A node that starts beside a running target would else be of no use to it
+    until the next announcement.  A target that is leaving says so.
+
+    Args:
+        names: Names of the headers.
+        address: Host and port where the target should listen.
+        service: Service that the settings name for this VM.
+        feed: Has the path to ask.
+        registration: Tells whether an announcement came.
+        publisher: Takes in what is found.
+        events: Log of events.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        names: HeaderNames,
+        address: tuple[str, int],
+        service: str,
+        feed: PlanFeed,
+        registration: TargetRegistration,
+        publisher: TargetPublisher,
+        events: EventLog,
+    ) -> None:
+        """Keep the parts."""
+        self._names = names
+        self._address = address
+        self._service = service
+        self._feed = feed
+        self._registration = registration
+        self._publisher = publisher
+        self._events = events
+
+    async def run(self) -> None:
+        """Probe until a target is known."""
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while not self._registration.target_id:
+                service = self._feed.current.services.get(self._service)
+                if service is not None:
+                    await self._probe(session, service.health_path)
+                await asyncio.sleep(_PERIOD_S)
+
+    async def _probe(self, session: aiohttp.ClientSession, path: str) -> None:
+        host, port = self._address
+        try:
+            async with session.get(f'http://{host}:{port}{path}') as answer:
+                status = answer.status
+                heads = answer.headers
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self._events.node('probe-failed', why=str(error) or 'timeout')
+            return
+        target_id = heads.get(self._names.target_id, '')
+        load = heads.get(self._names.target_load, '')
+        slots = load.rpartition(',')[2].strip()
+        if status != _OK or not target_id or not slots.isdigit():
+            self._events.node('probe-refused', status=status, target=target_id)
+            return
+        if not self._registration.target_id:
+            await self._publisher.take(self._news(target_id, int(slots)))
+
+    def _news(self, target_id: str, slots: int) -> TargetNews:
+        host, port = self._address
+        return TargetNews(
+            target_id=target_id,
+            # Any announcement is newer than this.
+            started_ms=0,
+            sequence=0,
+            service=self._service,
+            host=host,
+            port=port,
+            slots=max(1, slots),
+            state=TargetState.ready,
+            warmup_left_ms=0,
+        )
--- a/packages/node/src/chivelead_node/_internal/proxy/registration.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/registration.py
@@ -49,6 +49,8 @@
         silent_ms = now_ms() - self._target.announced_ms
         if silent_ms > self._period_ms * _PERIODS_MISSED:
             return TargetState.gone
+        if self.news.target_id in self._left:
+            return TargetState.draining
         return self.news.state
 
     async def take(self, news: TargetNews, connections: int) -> bool:
@@ -104,7 +106,7 @@
             )
         return True
 
-    async def leave(self, target_id: str) -> None:
+    def leave(self, target_id: str) -> None:
         """Give a target that is leaving no new work."""
         self._left.add(target_id)
         self._events.node('target-leaves', target=target_id)
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -167,12 +167,7 @@
                 allow_redirects=False,
             ) as answer:
                 heads = tuple(answer.headers.items())
-                try:
-                    check(answer.status, heads)
-                except TargetFailedError:
-                    # What follows on this connection belongs to nobody.
-                    answer.close()
-                    raise
+                _check_head(answer, heads, check)
                 body = await self._read(answer)
                 return TargetAnswer(answer.status, heads, body)
         except aiohttp.ClientConnectorError as error:
@@ -196,6 +191,19 @@
         return b''.join(chunks)
 
 
+def _check_head(
+    answer: aiohttp.ClientResponse,
+    heads: Headers,
+    check: Callable[[int, Headers], None],
+) -> None:
+    try:
+        check(answer.status, heads)
+    except TargetFailedError:
+        # What follows on this connection belongs to nobody.
+        answer.close()
+        raise
+
+
 def _make_session(connections: int) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
--- a/packages/platform/src/chivelead_platform/__init__.py
+++ b/packages/platform/src/chivelead_platform/__init__.py
@@ -1,6 +1,5 @@
 """The one place that knows the platform's names, formats and calls."""
 
-from chivelead_platform._internal.announcements import Question as Question
 from chivelead_platform._internal.announcements import classify as classify
 from chivelead_platform._internal.announcements import parse_news as parse_news
 from chivelead_platform._internal.edits import PLAN_KEY as PLAN_KEY
--- a/packages/platform/src/chivelead_platform/_internal/announcements.py
+++ b/packages/platform/src/chivelead_platform/_internal/announcements.py
@@ -1,28 +1,18 @@
 """What targets say of themselves to the node beside them."""
 
-import enum
+import types
 
 import orjson
-from chivelead_config import TargetNews
+from chivelead_config import Question, TargetNews
 from chivelead_protocol import ConfigurationError, TargetState
 
 from chivelead_platform._internal.values import FieldReader
 
 _READY_PATH = '/api/ready'
 _CALL_PATH = '/api/rpc'
-_STATES = {
-    'ready': TargetState.ready,
-    'draining': TargetState.draining,
-}
-
-
-class Question(enum.StrEnum):
-    """What the platform or a target wants of a node."""
-
-    readiness = 'readiness'
-    announcement = 'announcement'
-    departure = 'departure'
-    unknown = 'unknown'
+_STATES = types.MappingProxyType(
+    {'ready': TargetState.ready, 'draining': TargetState.draining},
+)
 
 
 def classify(method: str, path: str, call: str) -> Question:
--- a/packages/platform/src/chivelead_platform/_internal/edits.py
+++ b/packages/platform/src/chivelead_platform/_internal/edits.py
@@ -48,8 +48,7 @@
             for service in map(_service, entries.of_kind('services'))
         },
         organisations={
-            organisation.name: organisation
-            for organisation, _ in organisations
+            organisation.name: organisation for organisation, _ in organisations
         },
         organisations_by_digest={
             key_digest(key): organisation.name
--- a/packages/platform/src/chivelead_platform/_internal/process_settings.py
+++ b/packages/platform/src/chivelead_platform/_internal/process_settings.py
@@ -12,6 +12,11 @@
 
 SETTINGS_VARIABLE = 'CHIVELEAD_CONFIG'
 
+# Values of the deployments so far, for settings that leave a field out.
+_ANNOUNCE_PERIOD_MS = 1500
+_MEMORY_MB = 300
+_RETRY_RATIO = 0.2
+
 
 @dataclasses.dataclass(frozen=True)
 class Address:
@@ -155,8 +160,14 @@
         peer_port=inner_ports[0],
         regions=_regions(raw),
         first_start=own.flag('bootstrap'),
-        announce_period_ms=platform.number('heartbeat_ms', 1500),
-        memory_limit_mb=own.table('limits').number('memory_mb', 300),
+        announce_period_ms=platform.number(
+            'heartbeat_ms',
+            _ANNOUNCE_PERIOD_MS,
+        ),
+        memory_limit_mb=own.table('limits').number(
+            'memory_mb',
+            _MEMORY_MB,
+        ),
         store=_store_terms(platform.table('platform')),
         bounds=_bounds(settings.table('terms').table('bounds')),
     )
@@ -178,7 +189,7 @@
     ms_per_s = 1000
     return FleetBounds(
         grace_ms=bounds.number('grace_s', 6) * ms_per_s,
-        retry_ratio=bounds.number('retry_budget_ratio', 0.2),
+        retry_ratio=bounds.number('retry_budget_ratio', _RETRY_RATIO),
         retry_window_ms=bounds.number('retry_window_s', 10) * ms_per_s,
         retry_slack=bounds.number('budget_slack', 0),
     )
--- a/packages/platform/src/chivelead_platform/_internal/store.py
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -3,7 +3,8 @@
 import asyncio
 import base64
 import binascii
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import aiohttp
 import orjson
@@ -36,6 +37,7 @@
 # Time for the answer to travel back after the wait of a watch has ended.
 _WATCH_GRACE_MS = 1000
 _Query = dict[str, str]
+_Decoded = TypeVar('_Decoded')
 
 
 class PlatformStore(WatchableStore):
@@ -84,13 +86,13 @@
         query = {'prefix': prefix}
         while True:
             page = await self._call('GET', 'kv-range', query=query)
-            items = _decoded(_entries, page)
+            found = _decoded(_entries, page)
             # The first page is the oldest, so nothing is missed after it.
             revision = revision or _decoded(_store_revision, page)
-            entries.extend(items)
-            if not items or not page.flag('has_more'):
+            entries.extend(found)
+            if not found or not page.flag('has_more'):
                 return Listing(tuple(entries), revision)
-            query = {'prefix': prefix, 'after': items[-1].key}
+            query = {'prefix': prefix, 'after': found[-1].key}
 
     async def watch_prefix(
         self,
@@ -226,10 +228,15 @@
     try:
         return FieldReader(operation, orjson.loads(text or b'{}'))
     except (orjson.JSONDecodeError, ConfigurationError) as error:
-        raise StoreUnavailableError(operation, f'bad answer: {error}') from error
+        raise StoreUnavailableError(
+            operation, f'bad answer: {error}'
+        ) from error
 
 
-def _decoded(decode: Any, reader: FieldReader) -> Any:
+def _decoded(
+    decode: Callable[[FieldReader], _Decoded],
+    reader: FieldReader,
+) -> _Decoded:
     try:
         return decode(reader)
     except (ConfigurationError, binascii.Error, UnicodeDecodeError) as error:
@@ -250,9 +257,7 @@
 
 
 def _entries(reader: FieldReader) -> list[StoredValue]:
-    return [
-        _entry(FieldReader('item', item)) for item in reader.entries('items')
-    ]
+    return [_entry(FieldReader('item', raw)) for raw in reader.entries('items')]
 
 
 def _changes(reader: FieldReader) -> Changes:
--- a/packages/policy/src/chivelead_policy/_internal/splits.py
+++ b/packages/policy/src/chivelead_policy/_internal/splits.py
@@ -2,6 +2,7 @@
 
 import bisect
 import itertools
+import math
 import random
 from collections.abc import Sequence
 
@@ -25,6 +26,6 @@
 
     def choose(self) -> int:
         """Return the index of the part for the next request."""
-        self._position = (self._position + _GOLDEN) % 1
+        self._position = math.modf(self._position + _GOLDEN)[0]
         mark = self._position * self._sums[-1]
         return bisect.bisect_right(self._sums, mark)
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -46,7 +46,7 @@
 BUSY_SILENCE_MS = 1000
 HANDSHAKE_TIMEOUT_MS = 1500
 # The largest body that the limits of callers allow, and room for headers.
-FRAME_LIMIT_BYTES = 72 * 1024 * 1024
+FRAME_LIMIT_BYTES = 75_497_472
 _NONCE_BYTES = 16
 _CLOSE_TIMEOUT_S = 0.2
 _CHECK_PERIOD_S = 0.2
