Carry overload back to the entries by a learned call graph; tests on a stand-in

Change: nodes learn how many calls of which route a request leads to (least mean squares over one-second windows) and tell each other with the pulses. The node of a target integrates refusals into the part of its service's demand to keep away; entries refuse the least important requests whose chains lead there, before anything runs. Calls of targets go first at the gates and wait longer. A refused call asks two more nodes at the most.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -162,8 +162,7 @@
         own.step_admitted = 0
         own_demand = max(_DEMAND_LEAST_PER_S, own.asked_per_s)
         demands = {
-            vm: peer.demand_per_s(own_demand)
-            for vm, peer in self.peers.items()
+            vm: peer.demand_per_s(own_demand) for vm, peer in self.peers.items()
         }
         total = own_demand + sum(demands.values())
         gain = self.rate.rate_per_s * _STEP_MS / _MS_PER_S
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -52,6 +52,16 @@
 )
 
 
+class AdmissionObserver:
+    """Is told what becomes of calls at admission."""
+
+    def admitted(self, request: CallRequest) -> None:
+        """Note a call that goes to the target."""
+
+    def refused(self, request: CallRequest) -> None:
+        """Note a call that was refused for overload."""
+
+
 class InboundCalls:
     """Run the calls that other nodes, or this one, send to the target.
 
@@ -61,6 +71,7 @@
         events: Log of events.
         metrics: Counters.
         dialect: How the target is spoken to.
+        observer: Told what was admitted and what was refused.
     """
 
     def __init__(
@@ -70,6 +81,7 @@
         events: EventLog,
         metrics: CallMetrics,
         dialect: TargetDialect,
+        observer: AdmissionObserver | None = None,
     ) -> None:
         """Start with nothing running."""
         self.draining = False
@@ -79,6 +91,7 @@
         self._events = events
         self._metrics = metrics
         self._dialect = dialect
+        self._observer = observer or AdmissionObserver()
         self._running: dict[str, calls.RunningRequest] = {}
         self._tasks: dict[str, asyncio.Task[Any]] = {}
         self._started: dict[str, None] = {}
@@ -145,6 +158,8 @@
             await self._admit(request, deadline_ms)
         except RefusedError as error:
             self._metrics.count(f'refused.{error.reason}')
+            if error.reason is not RefusalReason.draining:
+                self._observer.refused(request)
             self._events.call(
                 'refused',
                 request.request_id,
@@ -155,6 +170,7 @@
                 waited_ms=round(now_ms() - came_ms, 1),
             )
             return self._reply(_refusal(error.reason), allowance)
+        self._observer.admitted(request)
         self._events.call(
             'admitted',
             request.request_id,
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -197,6 +197,7 @@
             request_id=call.request_id,
             attempt_id=f'{own.vm}.{own.boot_id}.{next(self._attempts)}',
             service=call.service,
+            route=call.route,
             method=call.method,
             path=call.path,
             headers=call.headers,
--- a/packages/node/src/chivelead_node/_internal/pressure.py
+++ b/packages/node/src/chivelead_node/_internal/pressure.py
@@ -45,11 +45,11 @@
             latency_ms,
         )
 
-    def note_load(self, vm: str, shed_level: float, load: float) -> None:
+    def note_load(self, vm: str, load: float) -> None:
         """Learn from a report that answers no call."""
         known = self._targets.get(vm)
         latency_ms = known.latency_ms if known else 0
-        self._targets[vm] = _Seen(now_ms(), shed_level, load, latency_ms)
+        self._targets[vm] = _Seen(now_ms(), 0, load, latency_ms)
 
     def note_chain(self, service: str, path: str, level: float) -> None:
         """Learn the shed level that a route's chain meets."""
@@ -94,3 +94,15 @@
 
     def _freshness(self, at_ms: float) -> float:
         return max(0.0, 1 - (now_ms() - at_ms) / (2 * _FADE_MS))
+
+
+class LoadTable(PressureTable):
+    """Loads for the choice of a target; entries shed by other means."""
+
+    def sheds(self, vms: list[str], importance: int) -> bool:
+        """Leave the refusal to the node of the target."""
+        return False
+
+    def chain_sheds(self, service: str, path: str, importance: int) -> bool:
+        """Leave the refusal to the node of the target."""
+        return False
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -188,6 +188,7 @@
                 if organisation.rate_per_s > 0
             },
         )
+        self._parts.overload.apply(plan)
         self._parts.entry.apply(plan)
         self._parts.pulses.tell_soon()
 
--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 from chivelead_config import (
+    IMPORTANCE_HIGHEST,
     HeaderNames,
     PlanRoute,
     TrafficPlan,
@@ -18,6 +19,7 @@
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.outbound import OutboundCalls
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
+from chivelead_node._internal.proxy.overload import OverloadView
 from chivelead_node._internal.requests import read_body
 
 _UNAUTHORISED = 401
@@ -30,6 +32,10 @@
 # A request may wait this part of its objective for admission; beyond that it
 # counts as held, and the caller does better to come back.
 _QUEUE_PART = 0.125
+# A call of a target waits longer: with it the work of its parents is lost.
+_INNER_QUEUE_PART = 0.5
+# Refused callers come back when overload has had time to pass.
+_SHED_RETRY_MS = 700.0
 # Spread of Retry-After, so that refused callers do not come back together.
 _RETRY_LEAST_MS = 200.0
 _RETRY_SPREAD_MS = 400.0
@@ -58,6 +64,7 @@
         own_service: Service of the target on this VM.
         outbound: Runs the calls.
         quota: Enforces the rates of organisations.
+        overload: Knows which requests lead to overloaded services.
         events: Log of events.
         metrics: Counters and histograms.
     """
@@ -68,6 +75,7 @@
         own_service: str,
         outbound: OutboundCalls,
         quota: FleetQuota,
+        overload: OverloadView,
         events: EventLog,
         metrics: ProxyMetrics,
     ) -> None:
@@ -79,6 +87,7 @@
         self._own_service = own_service
         self._outbound = outbound
         self._quota = quota
+        self._overload = overload
         self._events = events
         self._metrics = metrics
         self._plan: TrafficPlan | None = None
@@ -184,15 +193,19 @@
             raise calls.refused(_NOT_FOUND, 'unknown-route', 'no such route')
         organisation = self._authenticate(plan, route, request)
         left_ms = self._time_left_ms(request, route)
-        self._take_token(organisation)
+        service = self._choose_service(route)
+        is_inner = plan.has_organisations and not organisation
+        importance = _importance(plan, route, organisation)
+        if is_inner:
+            self._overload.learner.note_call(route.name)
+        else:
+            self._take_token(organisation)
+            self._shed(route, service, importance)
         body = await read_body(request, plan.limits.body_limit_bytes)
-        importance = route.importance
-        if organisation:
-            rank = plan.organisations[organisation].importance
-            importance = importance if rank is None else rank
+        wait_part = _INNER_QUEUE_PART if is_inner else _QUEUE_PART
         return calls.Call(
             request_id=request_id,
-            service=self._choose_service(route),
+            service=service,
             route=route.name,
             method=request.method,
             path=raw_path,
@@ -203,7 +216,7 @@
             idempotent=route.idempotent,
             deadline_ms=arrived_ms + left_ms,
             allowance=calls.Allowance(route.attempts_most - 1),
-            queue_limit_ms=route.objective_ms * _QUEUE_PART,
+            queue_limit_ms=route.objective_ms * wait_part,
         )
 
     def _authenticate(
@@ -255,6 +268,16 @@
                 retry_after_ms=wait_ms,
             )
 
+    def _shed(self, route: PlanRoute, service: str, importance: int) -> None:
+        overloaded = self._overload.sheds(route, service, importance)
+        if overloaded:
+            raise calls.refused(
+                _UNAVAILABLE,
+                'shed',
+                f'{overloaded} is overloaded',
+                retry_after_ms=_spread(_SHED_RETRY_MS),
+            )
+
     def _choose_service(self, route: PlanRoute) -> str:
         split = self._splits.get(route.name)
         return route.parts[split.choose() if split else 0].service
@@ -295,6 +318,29 @@
         )
 
 
+def _importance(
+    plan: TrafficPlan,
+    route: PlanRoute,
+    organisation: str,
+) -> int:
+    """Return the rank of a request.
+
+    Calls of targets carry no key.  Their parents were let in, so refusing
+    them would waste work; they go first.
+    """
+    if not organisation:
+        return (
+            IMPORTANCE_HIGHEST if plan.has_organisations else route.importance
+        )
+    rank = plan.organisations[organisation].importance
+    return route.importance if rank is None else rank
+
+
+def _spread(wait_ms: float) -> float:
+    """Return up to twice a time, so that callers do not come together."""
+    return wait_ms * (1 + random.random())  # noqa: S311
+
+
 def _unavailable(reason: str) -> calls.RefusedCallError:
     return calls.refused(
         _UNAVAILABLE,
--- a/packages/node/src/chivelead_node/_internal/proxy/parts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/parts.py
@@ -29,11 +29,12 @@
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.outbound import OutboundCalls
-from chivelead_node._internal.pressure import PressureTable
+from chivelead_node._internal.pressure import LoadTable
 from chivelead_node._internal.proxy.dialect import PlatformDialect
 from chivelead_node._internal.proxy.directory import FleetDirectory
 from chivelead_node._internal.proxy.entry import ProxyEntry
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
+from chivelead_node._internal.proxy.overload import OverloadView, RunWatch
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 from chivelead_node._internal.proxy.probe import TargetProbe
 from chivelead_node._internal.proxy.pulses import PulseTask
@@ -69,6 +70,7 @@
     links: LinkPool
     store: PlatformStore
     quota: FleetQuota
+    overload: OverloadView
     admission: Admission
     target: LocalTarget
     registration: TargetRegistration
@@ -101,14 +103,16 @@
         events,
         settings.announce_period_ms,
     )
+    overload = OverloadView(membership)
     inbound = InboundCalls(
         target,
         admission,
         events,
         metrics,
         PlatformDialect(HEADERS, registration),
+        RunWatch(overload),
     )
-    pressure = PressureTable(random.getrandbits(_SEED_BITS))
+    pressure = LoadTable(random.getrandbits(_SEED_BITS))
     outbound = OutboundCalls(
         membership,
         links,
@@ -127,6 +131,7 @@
         feed,
         admission,
         pressure,
+        overload,
         events,
     )
     publisher = TargetPublisher(
@@ -146,6 +151,7 @@
         links=links,
         store=store,
         quota=quota,
+        overload=overload,
         admission=admission,
         target=target,
         registration=registration,
@@ -155,6 +161,7 @@
             settings.own_service,
             outbound,
             quota,
+            overload,
             events,
             metrics,
         ),
--- a/packages/node/src/chivelead_node/_internal/proxy/pulses.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/pulses.py
@@ -10,6 +10,7 @@
 
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.pressure import PressureTable
+from chivelead_node._internal.proxy.overload import OverloadView
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 
 logger = logging.getLogger(__name__)
@@ -35,6 +36,7 @@
         feed: The plan in force.
         admission: Load of the own target.
         pressure: Learns the load of others.
+        overload: What is known of overload and of the call graph.
         events: Log of events.
     """
 
@@ -46,6 +48,7 @@
         feed: PlanFeed,
         admission: Admission,
         pressure: PressureTable,
+        overload: OverloadView,
         events: EventLog,
     ) -> None:
         """Start without peers."""
@@ -55,6 +58,7 @@
         self._feed = feed
         self._admission = admission
         self._pressure = pressure
+        self._overload = overload
         self._events = events
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._urgent: set[asyncio.Task[None]] = set()
@@ -104,6 +108,7 @@
         task = self._tasks.get(member.vm)
         if not member.alive:
             self._quota.forget(member.vm)
+            self._overload.forget(member.vm)
             if task is not None:
                 self._tasks.pop(member.vm).cancel()
         elif task is None and own.vm < member.vm:
@@ -134,11 +139,14 @@
 
     def _own_pulse(self) -> Pulse:
         pressure = self._admission.pressure()
+        factors = self._overload.learner.factors()
         return Pulse(
             member=self._membership.own,
             plan_version=self._feed.current.version,
             counts=self._quota.report(),
-            shed_level=float(pressure.shed_level),
+            call_routes=tuple((row.route, row.called) for row in factors),
+            call_factors=tuple(row.factor for row in factors),
+            shed_part=self._overload.own_part(pressure.load),
             load=pressure.load,
         )
 
@@ -151,5 +159,6 @@
             self._events.node('peer-back', peer=vm)
         self._membership.hear(pulse.member)
         self._quota.learn(vm, pulse.counts)
-        self._pressure.note_load(vm, pulse.shed_level, pulse.load)
+        self._pressure.note_load(vm, pulse.load)
+        self._overload.hear(vm, pulse)
         self._feed.hear_version(vm, pulse.plan_version)
--- a/packages/platform/src/chivelead_platform/__init__.py
+++ b/packages/platform/src/chivelead_platform/__init__.py
@@ -12,6 +12,9 @@
 from chivelead_platform._internal.process_settings import (
     ProcessSettings as ProcessSettings,
 )
+from chivelead_platform._internal.process_settings import (
+    StoreTerms as StoreTerms,
+)
 from chivelead_platform._internal.process_settings import (
     load_process_settings as load_process_settings,
 )
--- a/packages/policy/src/chivelead_policy/__init__.py
+++ b/packages/policy/src/chivelead_policy/__init__.py
@@ -5,11 +5,18 @@
 from chivelead_policy._internal.admission import Pressure as Pressure
 from chivelead_policy._internal.admission import RefusalReason as RefusalReason
 from chivelead_policy._internal.admission import RefusedError as RefusedError
+from chivelead_policy._internal.call_graph import CallFactor as CallFactor
+from chivelead_policy._internal.call_graph import CallGraph as CallGraph
+from chivelead_policy._internal.call_graph import (
+    CallGraphLearner as CallGraphLearner,
+)
 from chivelead_policy._internal.limits import LIMITS as LIMITS
 from chivelead_policy._internal.limits import Completion as Completion
 from chivelead_policy._internal.outliers import (
     OutlierDetector as OutlierDetector,
 )
+from chivelead_policy._internal.overload import EntryShedder as EntryShedder
+from chivelead_policy._internal.overload import GateControl as GateControl
 from chivelead_policy._internal.queues import QUEUES as QUEUES
 from chivelead_policy._internal.retries import RETRIES as RETRIES
 from chivelead_policy._internal.retries import (
--- a/packages/policy/src/chivelead_policy/_internal/retries.py
+++ b/packages/policy/src/chivelead_policy/_internal/retries.py
@@ -13,6 +13,9 @@
 # does not see; half of the budget is left for them.
 _BUDGET_PART = 0.5
 _WINDOW_STEPS = 20
+# Nodes that are asked after the first one has refused; more would only add
+# load where all are full.
+_OTHERS_ASKED_MOST = 2
 
 RETRIES: Registry['RetryPolicy'] = Registry('retries')
 
@@ -166,7 +169,7 @@
         if not attempt.may_repeat or attempt.left_ms <= 0:
             return False
         if not attempt.arrived:
-            return True
+            return attempt.retries_done < _OTHERS_ASKED_MOST
         if attempt.allowance < 1:
             return False
         spent = self._count(self._spent, attempt.service)
--- a/packages/protocol/src/chivelead_protocol/_internal/messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/messages.py
@@ -75,6 +75,7 @@
     """One attempt of a call, from the caller's node to the target's.
 
     Attributes:
+        route: Names the route among those of its service.
         timeout_ms: Time left until the deadline of the root request.
         importance: 0 (shed first) to 9 (shed last).
         idempotent: Whether the call may be repeated.
@@ -85,6 +86,7 @@
     request_id: str
     attempt_id: str
     service: str
+    route: str
     method: str
     path: str
     headers: Headers
@@ -522,14 +524,20 @@
 
     Attributes:
         plan_version: Version of the traffic plan in force at the sender.
-        shed_level: As in a call reply.
+        call_routes: Routes of requests and of the calls they lead to, in
+            pairs, as the sender has learned them.
+        call_factors: How many calls, for each pair.
+        shed_part: Part of the demand for the target's service that entries
+            should refuse.
         load: As in a call reply.
     """
 
     member: Member
     plan_version: int
     counts: tuple[PulseCounts, ...]
-    shed_level: float
+    call_routes: tuple[tuple[str, str], ...]
+    call_factors: tuple[float, ...]
+    shed_part: float
     load: float
 
 
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -73,8 +73,7 @@
         last = 0
         for index, first in enumerate(self.admitted):
             while (
-                last < len(self.admitted)
-                and self.admitted[last] < first + 5000
+                last < len(self.admitted) and self.admitted[last] < first + 5000
             ):
                 last += 1
             most = max(most, last - index)
