Bound waits at the gate instead of guessing runs; faults are no overload

A target that refuses a part of all requests for no reason brought its limit down to one.

Change: the proxy's gate does not estimate; a limit of its own takes refusals with much room left for faults.

Tests: two new ones in test_admission.py.

--- a/packages/node/src/chivelead_node/_internal/proxy/parts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/parts.py
@@ -93,8 +93,11 @@
     store = PlatformStore(settings.store.address, _STORE_TIMEOUT_MS)
     quota = FleetQuota()
     admission = Admission(
-        LIMITS.find('adaptive')(),
+        LIMITS.find('adaptive-with-room')(),
         QUEUES.find('importance-fair')(),
+        # The wait is bounded; an estimate of the run would refuse a target
+        # that was slow for ever.
+        shed_late=False,
     )
     target = LocalTarget(_ANSWER_LIMIT_BYTES)
     registration = TargetRegistration(
--- a/packages/policy/src/chivelead_policy/_internal/limits.py
+++ b/packages/policy/src/chivelead_policy/_internal/limits.py
@@ -107,9 +107,6 @@
 
     def complete(self, completion: Completion) -> None:
         """Apply additive increase and multiplicative decrease."""
-        if completion.shed and completion.in_flight < self._limit / 2:
-            # With so few in flight this is a fault of the target, no overload.
-            return
         if completion.shed:
             reached = min(self._limit, float(completion.in_flight))
             self._known_good = max(1.0, reached * _SHED_FACTOR)
@@ -121,3 +118,18 @@
 
     def _grow(self, step: float) -> None:
         self._limit = min(float(self._slots), self._limit + step)
+
+
+@LIMITS.register('adaptive-with-room')
+class RoomAwareLimit(AdaptiveLimit):
+    """Take refusals with much room left for faults, not for overload.
+
+    A target that refuses a part of all requests for no reason would else
+    bring its limit down to one, and a whole service with it.
+    """
+
+    def complete(self, completion: Completion) -> None:
+        """Ignore refusals below half of the limit."""
+        if completion.shed and completion.in_flight < self.limit / 2:
+            return
+        super().complete(completion)
--- a/packages/policy/tests/unit/test_admission.py
+++ b/packages/policy/tests/unit/test_admission.py
@@ -191,3 +191,24 @@
     for _ in range(20):
         limit.complete(_busy(1))
     assert limit.limit == 10
+
+
+async def test_slow_target_is_tried_again():
+    """Without estimates a slow target is not refused for ever as too slow."""
+    admission = make_admission(slots=4, shed_late=False)
+    for _ in range(20):
+        await admission.admit(Applicant('mill', 5, now_ms() + 60_000))
+        admission.release(done(latency_ms=5000))
+    await admission.admit(Applicant('mill', 5, now_ms() + 500))
+    assert admission.in_flight == 1
+
+
+def test_refusals_with_room_left_are_no_overload():
+    limit = LIMITS.find('adaptive-with-room')()
+    limit.announce(40)
+    limit.warm()
+    for _ in range(100):
+        limit.complete(Completion(1, shed=True, failed=False, in_flight=5))
+    assert limit.limit == 40
+    limit.complete(Completion(1, shed=True, failed=False, in_flight=39))
+    assert limit.limit < 39
