Pass slow targets, notice silent ones, and read the clock less often

Change: routing leaves out targets three times slower than the best; calls given up count as slow. Two calls unanswered for a second with no answer at all, or three failures in a row, take a target out until it answers a probe. Log lines for failed attempts and refusals with their inputs. Hot paths read the loop's clock, which costs no system call; leases and silence keep the real one.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from chivelead_protocol import PulseCounts, now_ms
+from chivelead_protocol import PulseCounts, loop_ms
 
 _MS_PER_S = 1000
 # One step of sharing out, about as long as nearby nodes take to report.
@@ -108,12 +108,12 @@
         self.own = _OwnUse()
         self.peers: dict[str, _PeerUse] = {}
         self._others_per_s = 0.0
-        self._tended_ms = now_ms()
+        self._tended_ms = loop_ms()
         self._step_ms = 0.0
 
     def take(self) -> float:
         """Admit one request, or return how long to wait."""
-        self._tend(now_ms())
+        self._tend(loop_ms())
         own = self.own
         own.asked += 1
         own.step_asked += 1
@@ -126,11 +126,11 @@
 
     def expect(self, vm: str) -> None:
         """Reckon with a peer of which nothing is known yet."""
-        self.peers[vm] = _PeerUse(heard_ms=-math.inf, assumed_ms=now_ms())
+        self.peers[vm] = _PeerUse(heard_ms=-math.inf, assumed_ms=loop_ms())
 
     def learn(self, vm: str, report: PulseCounts) -> None:
         """Replace what was assumed of a peer by what it says."""
-        time_ms = now_ms()
+        time_ms = loop_ms()
         self._tend(time_ms)
         known = self.peers.get(vm)
         if known is None or not known.is_heard or report.asked < known.asked:
--- a/packages/node/src/chivelead_node/_internal/events.py
+++ b/packages/node/src/chivelead_node/_internal/events.py
@@ -11,6 +11,7 @@
 from logfmter import Logfmter
 
 _log = logging.getLogger('chivelead.events')
+_NONE: frozenset[str] = frozenset()
 _QUIET_KEYS = frozenset(('task_uuid', 'task_level', 'timestamp'))
 
 
@@ -33,7 +34,8 @@
         vm: Name of this VM.
         clock: Source of the stamps.
         kept: Number of events to keep.
-        log_calls: Whether events of single calls go to the log.
+        log_calls: Whether all events of single calls go to the log.
+        logged: Names of those that go to the log in any case.
         has_room: Tells whether a line of a kind may be written now.
     """
 
@@ -44,6 +46,7 @@
         kept: int,
         *,
         log_calls: bool,
+        logged: frozenset[str] = _NONE,
         has_room: Callable[[str], bool] = _always,
     ) -> None:
         """Start empty."""
@@ -51,12 +54,14 @@
         self._clock = clock
         self._recent: collections.deque[_Kept] = collections.deque(maxlen=kept)
         self._log_calls = log_calls
+        self._logged = logged
         self._has_room = has_room
 
     def call(self, event: str, request_id: str, **fields: object) -> None:
         """Note an event of one call."""
         self._keep(event, {'request_id': request_id, **fields})
-        if self._log_calls:
+        is_logged = event in self._logged and self._has_room('failed')
+        if is_logged or self._log_calls:
             self._write(event, {'request_id': request_id, **fields})
 
     def decision(
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -17,7 +17,7 @@
     CallRequest,
     Outcome,
     TargetState,
-    now_ms,
+    loop_ms,
 )
 
 from chivelead_node._internal import calls
@@ -61,6 +61,9 @@
     def refused(self, request: CallRequest) -> None:
         """Note a call that was refused for overload."""
 
+    def ended(self, request: CallRequest, *, answered: bool) -> None:
+        """Note a call that has left the target."""
+
 
 class InboundCalls:
     """Run the calls that other nodes, or this one, send to the target.
@@ -152,7 +155,7 @@
 
     async def _run(self, request: CallRequest) -> CallReply:
         allowance = calls.Allowance(request.retry_allowance)
-        came_ms = now_ms()
+        came_ms = loop_ms()
         deadline_ms = came_ms + request.timeout_ms
         try:
             await self._admit(request, deadline_ms)
@@ -166,8 +169,11 @@
                 attempt_id=request.attempt_id,
                 organisation=request.organisation,
                 importance=request.importance,
+                service=request.service,
                 reason=error.reason,
-                waited_ms=round(now_ms() - came_ms, 1),
+                waited_ms=round(loop_ms() - came_ms, 1),
+                in_flight=self._admission.in_flight,
+                load=round(self._admission.pressure().load, 2),
             )
             return self._reply(_refusal(error.reason), allowance)
         self._observer.admitted(request)
@@ -177,7 +183,7 @@
             attempt_id=request.attempt_id,
             organisation=request.organisation,
             importance=request.importance,
-            waited_ms=round(now_ms() - came_ms, 1),
+            waited_ms=round(loop_ms() - came_ms, 1),
         )
         return await self._run_admitted(request, allowance, deadline_ms)
 
@@ -207,7 +213,7 @@
             deadline_ms=deadline_ms,
             allowance=allowance,
         )
-        started_ms = now_ms()
+        started_ms = loop_ms()
         if not request.idempotent:
             self._unstoppable.add(request.attempt_id)
         # What holds unless an answer or a failure says otherwise.
@@ -226,17 +232,28 @@
             self._metrics.count('target.timeout')
         finally:
             self._running.pop(token)
-            self._admission.release(
-                Completion(
-                    latency_ms=now_ms() - started_ms,
-                    shed=shed,
-                    failed=failed,
-                    in_flight=self._admission.in_flight,
-                ),
-            )
-        self._note_end(request, reply, now_ms() - started_ms)
+            self._release(request, started_ms, shed=shed, failed=failed)
+        self._note_end(request, reply, loop_ms() - started_ms)
         return self._reply(reply, allowance)
 
+    def _release(
+        self,
+        request: CallRequest,
+        started_ms: float,
+        *,
+        shed: bool,
+        failed: bool,
+    ) -> None:
+        self._observer.ended(request, answered=not failed)
+        self._admission.release(
+            Completion(
+                latency_ms=loop_ms() - started_ms,
+                shed=shed,
+                failed=failed,
+                in_flight=self._admission.in_flight,
+            ),
+        )
+
     async def _call_target(
         self,
         request: CallRequest,
@@ -246,7 +263,7 @@
         own = self._dialect.request_headers(
             request,
             token,
-            deadline_ms - now_ms(),
+            deadline_ms - loop_ms(),
         )
         return await self._target.call(
             request.method,
@@ -264,10 +281,11 @@
     ) -> None:
         self._metrics.timing('target', elapsed_ms)
         self._events.call(
-            'target-answered',
+            'target-failed' if reply.reason else 'target-answered',
             request.request_id,
             attempt_id=request.attempt_id,
             status=reply.status,
+            reason=reply.reason,
             outcome=reply.outcome,
             elapsed_ms=round(elapsed_ms, 1),
         )
--- a/packages/node/src/chivelead_node/_internal/lines.py
+++ b/packages/node/src/chivelead_node/_internal/lines.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import eliot
-from chivelead_protocol import now_ms
+from chivelead_protocol import loop_ms
 
 # Lines of one kind that are written in a second; more are counted only.  At
 # 40 us a line all kinds together stay below 2% of a core.
@@ -65,7 +65,7 @@
 
     def has_room(self, kind: str) -> bool:
         """Count a line of a kind, and tell whether it may be written."""
-        second = int(now_ms() / _MS_PER_S)
+        second = int(loop_ms() / _MS_PER_S)
         if second != self._second:
             self._second = second
             self._counts.clear()
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -24,7 +24,7 @@
     Outcome,
     ReplyTimeoutError,
     TargetState,
-    now_ms,
+    loop_ms,
 )
 
 from chivelead_node._internal import calls
@@ -103,11 +103,23 @@
                 retries_done=retries_done,
                 allowance=call.allowance.left,
                 may_repeat=_may_repeat(call, reply),
-                left_ms=call.deadline_ms - now_ms(),
+                left_ms=call.deadline_ms - loop_ms(),
                 arrived=_arrived(reply),
             )
             may_have_run = may_have_run or reply.outcome != Outcome.not_run
-            if not self._retries.allows(failure):
+            again = self._retries.allows(failure)
+            self._events.call(
+                'attempt-failed',
+                call.request_id,
+                service=call.service,
+                to=vm,
+                reason=reply.reason,
+                outcome=reply.outcome,
+                left_ms=round(failure.left_ms),
+                allowance=failure.allowance,
+                again=again,
+            )
+            if not again:
                 return _truthful(reply, may_have_run=may_have_run)
             call.allowance.left -= self._retries.cost(failure)
             last_reply = reply
@@ -140,7 +152,7 @@
         return self._router.choose(candidates).vm
 
     def _members_for(self, service: str, tried: set[str]) -> list[Member]:
-        time_ms = now_ms()
+        time_ms = loop_ms()
         members = [
             member
             for member in self._membership.of_service(service)
@@ -183,15 +195,16 @@
             service=call.service,
             to=vm,
         )
-        started_ms = now_ms()
+        started_ms = loop_ms()
         try:
             reply = await self._send(vm, request)
         except asyncio.CancelledError:
+            self._pressure.note_slow(vm, loop_ms() - started_ms)
             await self._cancel(vm, request.attempt_id)
             raise
         finally:
             self._in_flight[vm] -= 1
-        self._learn(call, vm, reply, now_ms() - started_ms)
+        self._learn(call, vm, reply, loop_ms() - started_ms)
         call.allowance.left += min(lent, reply.retry_allowance)
         return reply
 
@@ -209,7 +222,7 @@
             organisation=call.organisation,
             importance=call.importance,
             idempotent=call.idempotent,
-            timeout_ms=call.deadline_ms - now_ms(),
+            timeout_ms=call.deadline_ms - loop_ms(),
             retry_allowance=lent,
             queue_limit_ms=call.queue_limit_ms,
         )
@@ -275,7 +288,7 @@
             reply.shed_level,
         )
         if reply.reason == 'draining':
-            self._draining_ms[vm] = now_ms() + _DRAINING_MS
+            self._draining_ms[vm] = loop_ms() + _DRAINING_MS
         if reply.reason == 'target-failed':
             self._outliers.failed(vm)
         elif reply.reason == '':
--- a/packages/node/src/chivelead_node/_internal/pressure.py
+++ b/packages/node/src/chivelead_node/_internal/pressure.py
@@ -3,11 +3,13 @@
 import dataclasses
 import random
 
-from chivelead_protocol import CallReply, now_ms
+from chivelead_protocol import CallReply, loop_ms
 
 _FADE_MS = 500.0
 _BOUNDARY_PART = 0.9
 _LATENCY_WEIGHT = 0.2
+# A target that is avoided as slow is tried again after this time.
+_LATENCY_AGE_MS = 1500.0
 
 
 @dataclasses.dataclass
@@ -16,6 +18,7 @@
     shed_level: float
     load: float
     latency_ms: float
+    latency_at_ms: float
 
 
 class PressureTable:
@@ -39,31 +42,47 @@
             gap_ms = elapsed_ms - known.latency_ms
             latency_ms = known.latency_ms + gap_ms * _LATENCY_WEIGHT
         self._targets[vm] = _Seen(
-            now_ms(),
+            loop_ms(),
             reply.shed_level,
             reply.load,
             latency_ms,
+            loop_ms(),
         )
 
     def note_load(self, vm: str, load: float) -> None:
         """Learn from a report that answers no call."""
         known = self._targets.get(vm)
-        latency_ms = known.latency_ms if known else 0
-        self._targets[vm] = _Seen(now_ms(), 0, load, latency_ms)
+        if known is None:
+            self._targets[vm] = _Seen(loop_ms(), 0, load, 0, 0)
+        else:
+            known.at_ms = loop_ms()
+            known.load = load
 
     def note_chain(self, service: str, path: str, level: float) -> None:
         """Learn the shed level that a route's chain meets."""
-        self._chains[(service, path)] = (now_ms(), level)
+        self._chains[(service, path)] = (loop_ms(), level)
 
     def load(self, vm: str) -> float:
         """Return the load of a target, fading as it grows old."""
         seen = self._targets.get(vm)
         return seen.load * self._freshness(seen.at_ms) if seen else 0
 
+    def note_slow(self, vm: str, elapsed_ms: float) -> None:
+        """Learn from a call that was given up after some time."""
+        known = self._targets.get(vm)
+        if known is None:
+            self._targets[vm] = _Seen(loop_ms(), 0, 0, elapsed_ms, loop_ms())
+        elif elapsed_ms > known.latency_ms:
+            gap_ms = elapsed_ms - known.latency_ms
+            known.latency_ms += gap_ms * _LATENCY_WEIGHT
+            known.latency_at_ms = loop_ms()
+
     def latency_ms(self, vm: str) -> float:
-        """Return the latency seen of late."""
+        """Return the latency seen of late; zero if none was."""
         seen = self._targets.get(vm)
-        return seen.latency_ms if seen else 0
+        if seen is None or loop_ms() - seen.latency_at_ms > _LATENCY_AGE_MS:
+            return 0
+        return seen.latency_ms
 
     def sheds(self, vms: list[str], importance: int) -> bool:
         """Tell whether all these targets would refuse such a request."""
@@ -73,13 +92,13 @@
     def chain_sheds(self, service: str, path: str, importance: int) -> bool:
         """Tell whether a service further down would refuse it."""
         at_ms, level = self._chains.get((service, path), (0, 0))
-        if now_ms() - at_ms > _FADE_MS:
+        if loop_ms() - at_ms > _FADE_MS:
             return False
         return self._below(level, importance)
 
     def _shed_level(self, vm: str) -> float:
         seen = self._targets.get(vm)
-        if seen is None or now_ms() - seen.at_ms > _FADE_MS:
+        if seen is None or loop_ms() - seen.at_ms > _FADE_MS:
             return 0
         return seen.shed_level
 
@@ -93,7 +112,7 @@
         return self._random.random() < part
 
     def _freshness(self, at_ms: float) -> float:
-        return max(0.0, 1 - (now_ms() - at_ms) / (2 * _FADE_MS))
+        return max(0.0, 1 - (loop_ms() - at_ms) / (2 * _FADE_MS))
 
 
 class LoadTable(PressureTable):
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -94,7 +94,10 @@
         await self._listen()
         for part in (parts.feed, parts.pulses, parts.directory):
             await part.start()
-        self._tasks = [asyncio.create_task(self._tend_forever())]
+        self._tasks = [
+            asyncio.create_task(self._tend_forever()),
+            asyncio.create_task(parts.watch.run()),
+        ]
         if not settings.first_start:
             self._tasks.append(asyncio.create_task(parts.probe.run()))
 
--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -13,7 +13,7 @@
 )
 from chivelead_coordination import FleetQuota
 from chivelead_policy import WeightedSplit
-from chivelead_protocol import CallReply, Headers, Outcome, now_ms
+from chivelead_protocol import CallReply, Headers, Outcome, loop_ms
 
 from chivelead_node._internal import calls
 from chivelead_node._internal.events import EventLog
@@ -117,7 +117,7 @@
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answer one request."""
-        arrived_ms = now_ms()
+        arrived_ms = loop_ms()
         request_id = request.headers.get(self._names.request_id, '')
         self.in_flight += 1
         try:
@@ -157,6 +157,8 @@
             status=response.status,
             service=call.service,
             organisation=call.organisation,
+            importance=call.importance,
+            left_ms=round(call.deadline_ms - loop_ms()),
             outcome=reply.outcome,
         )
         return response
@@ -305,7 +307,7 @@
         ending: str,
         **fields: object,
     ) -> None:
-        elapsed_ms = now_ms() - arrived_ms
+        elapsed_ms = loop_ms() - arrived_ms
         self._metrics.answered(ending, elapsed_ms)
         self._events.decision(
             'served' if ending == 'answered' else 'failed',
--- a/packages/node/src/chivelead_node/_internal/proxy/overload.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/overload.py
@@ -13,9 +13,7 @@
     EntryShedder,
     GateControl,
 )
-from chivelead_protocol import CallRequest, Pulse, now_ms
-
-from chivelead_node._internal.inbound import AdmissionObserver
+from chivelead_protocol import Pulse, loop_ms
 
 _SEED_BITS = 32
 # A report that is older than this no longer counts.
@@ -58,13 +56,13 @@
         """Return the part of the own service's demand to keep away."""
         vm = self._membership.own.vm
         part = self.gate.tend(load)
-        self._parts[vm] = (now_ms(), part)
+        self._parts[vm] = (loop_ms(), part)
         self._graph.learn(vm, self.learner.factors())
         return part
 
     def hear(self, vm: str, pulse: Pulse) -> None:
         """Take in the report of a peer."""
-        self._parts[vm] = (now_ms(), pulse.shed_part)
+        self._parts[vm] = (loop_ms(), pulse.shed_part)
         rows = zip(pulse.call_routes, pulse.call_factors, strict=False)
         self._graph.learn(
             vm,
@@ -86,16 +84,16 @@
         return self._shedder.sheds(importance, reach, self._shed_parts())
 
     def _shed_parts(self) -> Mapping[str, float]:
-        if now_ms() - self._table_ms > _TABLE_AGE_MS:
+        if loop_ms() - self._table_ms > _TABLE_AGE_MS:
             self._table = self._add_up()
-            self._table_ms = now_ms()
+            self._table_ms = loop_ms()
         return self._table
 
     def _add_up(self) -> Mapping[str, float]:
         """Return the mean part of each service, by slots."""
         sums: dict[str, float] = collections.defaultdict(float)
         slots: dict[str, int] = collections.defaultdict(int)
-        horizon_ms = now_ms() - _PART_AGE_MS
+        horizon_ms = loop_ms() - _PART_AGE_MS
         for member in self._membership.alive():
             heard_ms, part = self._parts.get(member.vm, (0.0, 0.0))
             if heard_ms < horizon_ms or not member.target_slots:
@@ -105,24 +103,3 @@
         return {
             service: sums[service] / count for service, count in slots.items()
         }
-
-
-class RunWatch(AdmissionObserver):
-    """Tell the view of overload what admission does.
-
-    Args:
-        overload: The view.
-    """
-
-    def __init__(self, overload: OverloadView) -> None:
-        """Keep the view."""
-        self._overload = overload
-
-    def admitted(self, request: CallRequest) -> None:
-        """Note a call that goes to the target."""
-        self._overload.learner.note_run(request.route)
-        self._overload.gate.note(refused=False)
-
-    def refused(self, request: CallRequest) -> None:
-        """Note a call that was refused for overload."""
-        self._overload.gate.note(refused=True)
--- a/packages/node/src/chivelead_node/_internal/proxy/parts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/parts.py
@@ -35,13 +35,14 @@
 from chivelead_node._internal.proxy.directory import FleetDirectory
 from chivelead_node._internal.proxy.entry import ProxyEntry
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
-from chivelead_node._internal.proxy.overload import OverloadView, RunWatch
+from chivelead_node._internal.proxy.overload import OverloadView
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 from chivelead_node._internal.proxy.probe import TargetProbe
 from chivelead_node._internal.proxy.pulses import PulseTask
 from chivelead_node._internal.proxy.registration import TargetRegistration
 from chivelead_node._internal.proxy.surfaces import SurfaceDialect
 from chivelead_node._internal.proxy.target_state import TargetPublisher
+from chivelead_node._internal.proxy.target_watch import RunWatch, TargetWatch
 from chivelead_node._internal.targets import LocalTarget
 
 # The platform has no secret to hand to its processes, and a node that starts
@@ -55,6 +56,7 @@
 _EVENTS_KEPT = 2000
 # 64 MiB, the bound for bodies of callers.
 _ANSWER_LIMIT_BYTES = 67_108_864
+_LOGGED_CALLS = frozenset(('refused', 'target-failed', 'attempt-failed'))
 _BOOT_BYTES = 8
 _SEED_BITS = 32
 _MS_PER_S = 1000
@@ -82,6 +84,7 @@
     directory: FleetDirectory
     publisher: TargetPublisher
     probe: TargetProbe
+    watch: TargetWatch
 
 
 def build_parts(settings: ProcessSettings, lines: LineLog) -> ProxyParts:
@@ -97,6 +100,7 @@
         clock,
         _EVENTS_KEPT,
         log_calls=False,
+        logged=_LOGGED_CALLS,
         has_room=lines.has_room,
     )
     metrics = ProxyMetrics()
@@ -119,13 +123,14 @@
         settings.announce_period_ms,
     )
     overload = OverloadView(membership)
+    runs = RunWatch(overload)
     inbound = InboundCalls(
         target,
         admission,
         events,
         metrics,
         PlatformDialect(HEADERS, registration),
-        RunWatch(overload),
+        runs,
     )
     pressure = LoadTable(random.getrandbits(_SEED_BITS))
     outbound = OutboundCalls(
@@ -133,7 +138,7 @@
         links,
         inbound.answer,
         inbound.cancel,
-        ROUTERS.find('nearest-two')(random.getrandbits(_SEED_BITS)),
+        ROUTERS.find('nearest-quick')(random.getrandbits(_SEED_BITS)),
         _retries(settings, membership),
         events,
         pressure,
@@ -158,6 +163,15 @@
         events,
     )
     address = settings.target_address
+    probe = TargetProbe(
+        HEADERS,
+        (address.host, address.port),
+        settings.own_service,
+        feed,
+        registration,
+        publisher,
+        events,
+    )
     return ProxyParts(
         clock=clock,
         events=events,
@@ -184,15 +198,8 @@
         pulses=pulses,
         directory=FleetDirectory(store, membership, pulses.heard_ms, events),
         publisher=publisher,
-        probe=TargetProbe(
-            HEADERS,
-            (address.host, address.port),
-            settings.own_service,
-            feed,
-            registration,
-            publisher,
-            events,
-        ),
+        probe=probe,
+        watch=TargetWatch(runs, registration, publisher, probe, events),
     )
 
 
--- a/packages/node/src/chivelead_node/_internal/proxy/probe.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/probe.py
@@ -1,6 +1,7 @@
 """Find a target that was there before this process."""
 
 import asyncio
+from collections.abc import Mapping
 
 import aiohttp
 from chivelead_config import HeaderNames, TargetNews
@@ -62,24 +63,52 @@
                     await self._probe(session, service.health_path)
                 await asyncio.sleep(_PERIOD_S)
 
+    async def until_answered(self, target_id: str) -> bool:
+        """Probe until a target answers or another start announces itself.
+
+        Returns:
+            Whether the target has answered a probe.
+        """
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while self._registration.target_id == target_id:
+                await asyncio.sleep(_PERIOD_S)
+                service = self._feed.current.services.get(self._service)
+                path = service.health_path if service else '/'
+                heads = await self._ask(session, path)
+                if heads and heads.get(self._names.target_id) == target_id:
+                    return True
+        return False
+
     async def _probe(self, session: aiohttp.ClientSession, path: str) -> None:
-        host, port = self._address
-        try:
-            async with session.get(f'http://{host}:{port}{path}') as answer:
-                status = answer.status
-                heads = answer.headers
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            self._events.node('probe-failed', why=str(error) or 'timeout')
+        heads = await self._ask(session, path)
+        if heads is None:
             return
         target_id = heads.get(self._names.target_id, '')
         load = heads.get(self._names.target_load, '')
         slots = load.rpartition(',')[2].strip()
-        if status != _OK or not target_id or not slots.isdigit():
-            self._events.node('probe-refused', status=status, target=target_id)
+        if not target_id or not slots.isdigit():
             return
         if not self._registration.target_id:
             await self._publisher.take(self._news(target_id, int(slots)))
 
+    async def _ask(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+    ) -> Mapping[str, str] | None:
+        """Return the headers of a good answer, or None."""
+        host, port = self._address
+        try:
+            async with session.get(f'http://{host}:{port}{path}') as answer:
+                if answer.status == _OK:
+                    return answer.headers
+                why = f'status {answer.status}'
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            why = str(error) or 'timeout'
+        self._events.node('probe-failed', why=why)
+        return None
+
     def _news(self, target_id: str, slots: int) -> TargetNews:
         host, port = self._address
         return TargetNews(
--- a/packages/node/src/chivelead_node/_internal/proxy/registration.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/registration.py
@@ -30,6 +30,7 @@
     ) -> None:
         """Start without a target."""
         self.news: TargetNews | None = None
+        self.silent = False
         self._target = target
         self._admission = admission
         self._events = events
@@ -44,7 +45,7 @@
     @property
     def state(self) -> TargetState:
         """Return the state of the target."""
-        if self.news is None:
+        if self.news is None or self.silent:
             return TargetState.gone
         silent_ms = now_ms() - self._target.announced_ms
         if silent_ms > self._period_ms * _PERIODS_MISSED:
--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from chivelead_protocol import now_ms
+from chivelead_protocol import loop_ms
 
 from chivelead_policy._internal.limits import Completion, ConcurrencyLimit
 from chivelead_policy._internal.queues import (
@@ -74,12 +74,12 @@
         self._refused = [0 for _ in range(_LEVELS)]
 
     def note(self, importance: int, refused: bool) -> None:
-        self._events.append((now_ms(), importance, refused))
+        self._events.append((loop_ms(), importance, refused))
         counts = self._refused if refused else self._admitted
         counts[importance] += 1
 
     def level(self) -> float:
-        horizon_ms = now_ms() - _SHED_WINDOW_MS
+        horizon_ms = loop_ms() - _SHED_WINDOW_MS
         while self._events and self._events[0][0] < horizon_ms:
             _, importance, refused = self._events.popleft()
             counts = self._refused if refused else self._admitted
@@ -176,7 +176,7 @@
             organisation=applicant.organisation,
             importance=applicant.importance,
             deadline_ms=applicant.deadline_ms,
-            arrival_ms=now_ms(),
+            arrival_ms=loop_ms(),
             admitted=asyncio.get_running_loop().create_future(),
         )
         self._make_room(waiter)
@@ -185,7 +185,7 @@
         if self._shed_late:
             latest_ms -= self._time_needed_ms()
         if applicant.queue_limit_ms:
-            latest_ms = min(latest_ms, now_ms() + applicant.queue_limit_ms)
+            latest_ms = min(latest_ms, loop_ms() + applicant.queue_limit_ms)
         try:
             async with asyncio.timeout_at(latest_ms / 1000):  # noqa: WPS432
                 await waiter.admitted
@@ -236,7 +236,7 @@
         self._meter.note(importance, refused=False)
 
     def _is_late(self, applicant: Applicant) -> bool:
-        left_ms = applicant.deadline_ms - now_ms()
+        left_ms = applicant.deadline_ms - loop_ms()
         if left_ms <= 0:
             return True
         if not self._shed_late:
--- a/packages/policy/src/chivelead_policy/_internal/call_graph.py
+++ b/packages/policy/src/chivelead_policy/_internal/call_graph.py
@@ -10,7 +10,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
-from chivelead_protocol import now_ms
+from chivelead_protocol import loop_ms
 
 # Requests and their calls fall mostly into the same window of this length.
 _WINDOW_MS = 1000.0
@@ -55,9 +55,9 @@
 
     def factors(self) -> tuple[CallFactor, ...]:
         """Return what is learned, after the last window is taken in."""
-        if now_ms() - self._window_ms >= _WINDOW_MS:
+        if loop_ms() - self._window_ms >= _WINDOW_MS:
             self._learn()
-            self._window_ms = now_ms()
+            self._window_ms = loop_ms()
         return tuple(
             CallFactor(route, called, factor)
             for (route, called), factor in self._factors.items()
--- a/packages/policy/src/chivelead_policy/_internal/outliers.py
+++ b/packages/policy/src/chivelead_policy/_internal/outliers.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from chivelead_protocol import now_ms
+from chivelead_protocol import loop_ms
 
 _FAILURES_TO_EJECT = 3
 _EJECT_MS = 1000
@@ -35,12 +35,12 @@
         if record.failures >= _FAILURES_TO_EJECT:
             record.failures = _FAILURES_TO_EJECT - 1
             backoff_ms = _EJECT_MS * 2**record.ejections
-            record.until_ms = now_ms() + min(_EJECT_MOST_MS, backoff_ms)
+            record.until_ms = loop_ms() + min(_EJECT_MOST_MS, backoff_ms)
             record.ejections += 1
 
     def keep(self, vms: Sequence[str]) -> list[str]:
         """Return the targets in use; at most half are left out."""
-        time_ms = now_ms()
+        time_ms = loop_ms()
         kept = [vm for vm in vms if self._until_ms(vm) <= time_ms]
         if len(kept) * 2 >= len(vms):
             return kept
--- a/packages/policy/src/chivelead_policy/_internal/overload.py
+++ b/packages/policy/src/chivelead_policy/_internal/overload.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Mapping
 
-from chivelead_protocol import now_ms
+from chivelead_protocol import loop_ms
 
 _PERIOD_MS = 500.0
 # Part of the excess that one step corrects; the rest is seen again.
@@ -51,9 +51,9 @@
         Args:
             load: Requests running and waiting over the limit.
         """
-        if now_ms() - self._step_ms < _PERIOD_MS:
+        if loop_ms() - self._step_ms < _PERIOD_MS:
             return self.shed_part
-        self._step_ms = now_ms()
+        self._step_ms = loop_ms()
         seen = self._admitted + self._refused
         refused = self._refused / seen if seen else 0
         self._admitted = 0
@@ -74,11 +74,11 @@
     at_ms: float
 
     def add(self, importance: int, calls: float) -> None:
-        passed_ms = now_ms() - self.at_ms
+        passed_ms = loop_ms() - self.at_ms
         kept = max(0.0, 1 - passed_ms / _DEMAND_MEMORY_MS)
         self.by_level = [level * kept for level in self.by_level]
         self.by_level[importance] += calls
-        self.at_ms = now_ms()
+        self.at_ms = loop_ms()
 
 
 class EntryShedder:
@@ -92,7 +92,7 @@
         """Start with no demand seen."""
         self._random = random.Random(seed)  # noqa: S311
         self._demands: dict[str, _Demand] = collections.defaultdict(
-            lambda: _Demand([0.0 for _ in range(_LEVELS)], now_ms()),
+            lambda: _Demand([0.0 for _ in range(_LEVELS)], loop_ms()),
         )
 
     def sheds(
--- a/packages/policy/src/chivelead_policy/_internal/retries.py
+++ b/packages/policy/src/chivelead_policy/_internal/retries.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from chivelead_protocol import now_ms
+from chivelead_protocol import loop_ms
 
 from chivelead_policy._internal.registry import Registry
 
@@ -213,14 +213,14 @@
         self._sum = 0
 
     def add(self) -> None:
-        number = now_ms() // self._step_ms
+        number = loop_ms() // self._step_ms
         if not self._steps or self._steps[-1][0] < number:
             self._steps.append([number, 0])
         self._steps[-1][1] += 1
         self._sum += 1
 
     def total(self) -> int:
-        oldest = now_ms() // self._step_ms - _WINDOW_STEPS
+        oldest = loop_ms() // self._step_ms - _WINDOW_STEPS
         while self._steps and self._steps[0][0] < oldest:
             self._sum -= int(self._steps.popleft()[1])
         return self._sum
--- a/packages/policy/src/chivelead_policy/_internal/routing.py
+++ b/packages/policy/src/chivelead_policy/_internal/routing.py
@@ -12,6 +12,10 @@
 
 _ROOM_LOAD = 0.85
 _TIER_PENALTY = (0.0, 0.15, 0.8)
+# Instances of one service differ by a factor of 2.3 in speed; the margin is a
+# round trip between regions and some chance.
+_SLOW_FACTOR = 3.0
+_SLOW_MARGIN_MS = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,3 +91,29 @@
         if len(near) > 2:
             near = self._random.sample(near, 2)
         return min(near, key=lambda candidate: candidate.score)
+
+
+@ROUTERS.register('nearest-quick')
+class NearestQuick(NearestTwo):
+    """As nearest-two, but past targets that are far slower than others.
+
+    A slow target in the own failure domain has room for long before its load
+    shows that it is slow.
+    """
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        """Return the choice among those that are not slow."""
+        known = [
+            candidate.latency_ms
+            for candidate in candidates
+            if candidate.latency_ms
+        ]
+        if not known:
+            return super().choose(candidates)
+        bound_ms = min(known) * _SLOW_FACTOR + _SLOW_MARGIN_MS
+        quick = [
+            candidate
+            for candidate in candidates
+            if candidate.latency_ms <= bound_ms
+        ]
+        return super().choose(quick)
--- a/packages/policy/tests/unit/test_admission.py
+++ b/packages/policy/tests/unit/test_admission.py
@@ -212,3 +212,12 @@
     assert limit.limit == 40
     limit.complete(Completion(1, shed=True, failed=False, in_flight=39))
     assert limit.limit < 39
+
+
+def test_router_passes_a_slow_target_of_the_own_failure_domain():
+    router = ROUTERS.find('nearest-quick')(1)
+    slow = Candidate('slow', 0, 10, 0, 0.1, 900)
+    far = Candidate('far', 1, 10, 0, 0.1, 80)
+    assert router.choose([slow, far]).vm == 'far'
+    unknown = Candidate('new', 0, 10, 0, 0.1, 0)
+    assert router.choose([unknown, far]).vm == 'new'
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -2,6 +2,7 @@
 
 from chivelead_protocol._internal.clock import HybridClock as HybridClock
 from chivelead_protocol._internal.clock import format_stamp as format_stamp
+from chivelead_protocol._internal.clock import loop_ms as loop_ms
 from chivelead_protocol._internal.clock import now_ms as now_ms
 from chivelead_protocol._internal.clock import stamp_ms as stamp_ms
 from chivelead_protocol._internal.codec import decode_frame as decode_frame
--- a/packages/protocol/src/chivelead_protocol/_internal/clock.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/clock.py
@@ -26,6 +26,15 @@
     return loop.time() * MS_PER_S
 
 
+def loop_ms() -> float:
+    """Return the time at which this iteration of the loop began, in ms.
+
+    It costs no call of the system on uvloop.  Where a pause of the process
+    within an iteration matters, as for leases, take ``now_ms``.
+    """
+    return asyncio.get_running_loop().time() * MS_PER_S
+
+
 @functools.cache
 def _stands_still(module: str) -> bool:
     return module.startswith('uvloop')
@@ -40,7 +49,7 @@
 
     def stamp(self) -> int:
         """Return a stamp for a local event or an outgoing message."""
-        physical = int(now_ms()) << _COUNTER_BITS
+        physical = int(loop_ms()) << _COUNTER_BITS
         self._last_stamp = max(self._last_stamp + 1, physical)
         return self._last_stamp
 
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -419,3 +419,27 @@
         assert status == expected
         assert body == b'half' or reset
         server.close()
+
+
+async def test_target_that_falls_silent_is_taken_out_and_comes_back():
+    async with running('stock', 'stock') as fleet:
+        target = fleet.targets[0]
+        hold = asyncio.Event()
+
+        async def hang(request):
+            await hold.wait()
+            return target.success(request)
+
+        target.behave = hang
+        target.healthy = False
+        asking = [
+            asyncio.create_task(fleet.ask(0, '/read/x')) for _ in range(3)
+        ]
+        await until(lambda: fleet.parts(0).registration.silent, 2)
+        for _ in range(10):
+            assert (await fleet.ask(0, '/read/x'))[0] == 200
+        target.healthy = True
+        hold.set()
+        target.behave = None
+        await until(lambda: not fleet.parts(0).registration.silent, 2)
+        await asyncio.gather(*asking)
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -219,6 +219,7 @@
         self.work_s = 0.0
         self.cancelled = 0
         self.behave = None
+        self.healthy = True
         self._runner = None
         self._sequence = itertools.count(1)
 
@@ -275,6 +276,7 @@
     async def _answer(self, request):
         if request.path == '/health':
             return web.Response(
+                status=200 if self.healthy else 503,
                 headers={
                     'X-Instance-Id': self.target_id,
                     'X-Instance-Load': '0,0,4',
