Say in the log which limit refused a request, and what was left

Cause: a 429 could not be traced to its organisation or to the level of its bucket. Change: the reason of a refusal goes to the log with Retry-After.

--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -146,6 +146,8 @@
                 arrived_ms,
                 refusal.reason,
                 status=refusal.status,
+                why=refusal.detail,
+                retry_after_ms=round(refusal.retry_after_ms),
             )
             return _refusal_response(refusal)
         reply = await self._run(call)
@@ -266,7 +268,8 @@
             raise calls.refused(
                 _TOO_MANY,
                 'rate',
-                'the organisation has used up its rate and burst',
+                f'{organisation} has used up its rate and burst:'
+                f' {self._quota.level(organisation):.1f} left',
                 retry_after_ms=wait_ms,
             )
 
