Keep the limit of a target that refuses at random; leave in time at shutdown

Change: refusals count as overload only with four fifths of the claimed slots in use; a node that has closed ends at once.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -24,10 +24,10 @@
 _NOISE_PER_S = 0.5
 # Assumed demand of a node without any, so that its first requests pass.
 _DEMAND_LEAST_PER_S = 0.2
-# Chance brings a node more than its part.  Should all nodes take this much in
-# one step, that is less than a burst and 20, which the bound of the deployments
-# over five seconds leaves besides rate and burst.
-_SPARE_BURSTS = 0.8
+# Chance brings a node more than its part.  All nodes together may take this
+# much in one step; the bound over five seconds (a tenth more than rate and
+# burst, and 20) holds then at five times the rate, for levels fall in the next.
+_SPARE_BURSTS = 2.0
 _SPARE_REQUESTS = 20.0
 # Without a report for this long a peer may be cut off, and so may this node;
 # beyond the longest time between reports.
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -42,7 +42,7 @@
 # until then they still come here.
 _CALLERS_LEAVE_MS = 2500.0
 # Kept back from the time until SIGKILL for the last steps.
-_GRACE_RESERVE_MS = 600.0
+_GRACE_RESERVE_MS = 800.0
 # The process ends anyway; peers and the store notice.
 _CLOSE_TIMEOUT_S = 0.3
 _POLL_S = 0.05
--- a/packages/node/src/chivelead_node/_internal/proxy/main.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/main.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 
@@ -37,6 +38,9 @@
     gc.set_threshold(_GC_THRESHOLD)
     await stop.wait()
     await daemon.close()
+    # Everything is written and told; what is left of tasks waits for peers
+    # and targets that may be gone, past the time until SIGKILL.
+    os._exit(0)  # noqa: SLF001, WPS437
 
 
 def main() -> None:
--- a/packages/policy/src/chivelead_policy/_internal/limits.py
+++ b/packages/policy/src/chivelead_policy/_internal/limits.py
@@ -12,6 +12,9 @@
 _GROWTH_PER_SUCCESS = 0.5
 _PROBE_PER_SUCCESS = 0.05
 _UNBOUNDED = 1_000_000.0
+# A target that claims slots and refuses with a fifth of them free is faulty; it
+# has a queue besides its slots.
+_FULL_PART = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,7 +132,7 @@
     """
 
     def complete(self, completion: Completion) -> None:
-        """Ignore refusals below half of the limit."""
-        if completion.shed and completion.in_flight < self.limit / 2:
+        """Ignore refusals unless most of the claimed slots are in use."""
+        if completion.shed and completion.in_flight < self._slots * _FULL_PART:
             return
         super().complete(completion)
--- a/packages/policy/tests/unit/test_admission.py
+++ b/packages/policy/tests/unit/test_admission.py
@@ -214,6 +214,18 @@
     assert limit.limit < 39
 
 
+def test_refusals_at_full_load_do_not_bring_the_limit_down_to_nothing():
+    limit = LIMITS.find('adaptive-with-room')()
+    limit.announce(40)
+    limit.warm()
+    for _ in range(200):
+        in_flight = int(limit.limit)
+        limit.complete(
+            Completion(1, shed=True, failed=False, in_flight=in_flight)
+        )
+    assert limit.limit >= 30
+
+
 def test_router_passes_a_slow_target_of_the_own_failure_domain():
     router = ROUTERS.find('nearest-quick')(1)
     slow = Candidate('slow', 0, 10, 0, 0.1, 900)
