--- a/packages/cli/src/chivelead_cli/_internal/main.py
+++ b/packages/cli/src/chivelead_cli/_internal/main.py
@@ -5,6 +5,7 @@
 from chivelead_cli._internal.commands.apply import apply
 from chivelead_cli._internal.commands.check import check
 from chivelead_cli._internal.commands.documents import diff, history, show
+from chivelead_cli._internal.commands.explain import explain
 from chivelead_cli._internal.commands.key import issue, list_names, withdraw
 from chivelead_cli._internal.commands.status import drain, status
 from chivelead_cli._internal.commands.timeline import timeline
@@ -18,6 +19,7 @@
             'check': check,
             'diff': diff,
             'drain': drain,
+            'explain': explain,
             'history': history,
             'key': {
                 'issue': issue,
--- a/packages/node/src/chivelead_node/_internal/lines.py
+++ b/packages/node/src/chivelead_node/_internal/lines.py
@@ -77,11 +77,12 @@
         return False
 
     def _take_in(self, entry: dict[str, Any]) -> None:
-        fields = [
+        fields = [f'time={entry["timestamp"]:.3f}']
+        fields.extend(
             f'{name}={_shown(field)}'
             for name, field in entry.items()
             if name not in _QUIET_KEYS
-        ]
+        )
         fields.append('\n')
         self._lines.append(' '.join(fields).encode(errors='replace'))
 
--- a/packages/policy/tests/unit/test_admission.py
+++ b/packages/policy/tests/unit/test_admission.py
@@ -214,7 +214,7 @@
     assert limit.limit < 39
 
 
-def test_refusals_at_full_load_do_not_bring_the_limit_down_to_nothing():
+def test_refusals_at_full_load_leave_most_of_the_limit():
     limit = LIMITS.find('adaptive-with-room')()
     limit.announce(40)
     limit.warm()
