Bound the bodies that an entry holds at once

Cause: bodies are held whole up to the callers' limit of 64 MiB with 300 MB of memory, and nothing bounded their sum. Change: an entry refuses, unread and with Retry-After, what would take more than 15% of the node's memory.

--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -67,6 +67,7 @@
         overload: Knows which requests lead to overloaded services.
         events: Log of events.
         metrics: Counters and histograms.
+        held_limit_bytes: Most bytes of bodies that are held at once.
     """
 
     def __init__(  # noqa: WPS211
@@ -78,6 +79,7 @@
         overload: OverloadView,
         events: EventLog,
         metrics: ProxyMetrics,
+        held_limit_bytes: float,
     ) -> None:
         """Start without a plan."""
         self.in_flight = 0
@@ -90,6 +92,8 @@
         self._overload = overload
         self._events = events
         self._metrics = metrics
+        self._held_limit_bytes = held_limit_bytes
+        self._held_bytes = 0
         self._plan: TrafficPlan | None = None
         self._splits: dict[str, WeightedSplit] = {}
         self._set_headers = frozenset(
@@ -150,7 +154,11 @@
                 retry_after_ms=round(refusal.retry_after_ms),
             )
             return _refusal_response(refusal)
-        reply = await self._run(call)
+        self._held_bytes += len(call.body)
+        try:
+            reply = await self._run(call)
+        finally:
+            self._held_bytes -= len(call.body)
         response = _response(reply)
         self._note(
             request_id,
@@ -205,6 +213,10 @@
         else:
             self._take_token(organisation)
             self._shed(route, service, importance)
+        if self._held_bytes + (request.content_length or 0) > (
+            self._held_limit_bytes
+        ):
+            raise _unavailable('memory')
         body = await read_body(request, plan.limits.body_limit_bytes)
         wait_part = _INNER_QUEUE_PART if is_inner else _QUEUE_PART
         return calls.Call(
--- a/packages/node/src/chivelead_node/_internal/proxy/parts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/parts.py
@@ -57,6 +57,10 @@
 # 64 MiB, the bound for bodies of callers.
 _ANSWER_LIMIT_BYTES = 67_108_864
 _LOGGED_CALLS = frozenset(('refused', 'target-failed', 'attempt-failed'))
+_MEGABYTE = 1_000_000
+# A body is held about three times over on its way; the rest of the memory is
+# the process itself and its answers.
+_HELD_PART = 0.15
 _BOOT_BYTES = 8
 _SEED_BITS = 32
 _MS_PER_S = 1000
@@ -193,6 +197,7 @@
             overload,
             events,
             metrics,
+            settings.memory_limit_mb * _MEGABYTE * _HELD_PART,
         ),
         feed=feed,
         pulses=pulses,
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -443,3 +443,16 @@
         target.behave = None
         await until(lambda: not fleet.parts(0).registration.silent, 2)
         await asyncio.gather(*asking)
+
+
+async def test_bodies_beyond_the_memory_of_a_node_are_refused_unread():
+    async with running('orders') as fleet:
+        entry = fleet.parts(0).entry
+        entry._held_bytes = entry._held_limit_bytes - 1000
+        status, heads, _ = await fleet.ask(
+            0, '/book/', 'POST', data=b'x' * 2000
+        )
+        assert (status, 'Retry-After' in heads) == (503, True)
+        assert not fleet.targets[0].seen
+        entry._held_bytes = 0
+        assert (await fleet.ask(0, '/book/', 'POST', data=b'x'))[0] == 200
