--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/answers.py
@@ -0,0 +1,68 @@
+"""Answers to callers, from replies and refusals of nodes."""
+
+import random
+
+from aiohttp import web
+from chivelead_protocol import CallReply, Headers, Outcome
+
+from chivelead_node._internal import calls
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_MS_PER_S = 1000
+# Spread of Retry-After, so that refused callers do not come back together.
+_RETRY_LEAST_MS = 200.0
+_RETRY_SPREAD_MS = 400.0
+
+
+def spread(wait_ms: float) -> float:
+    """Return up to twice a time, so that callers do not come together."""
+    return wait_ms * (1 + random.random())  # noqa: S311
+
+
+def reply_response(reply: CallReply) -> web.Response:
+    """Return a reply between nodes as an answer."""
+    if not reply.reason:
+        return _raw_response(reply.status, reply.headers, reply.body)
+    if reply.outcome == Outcome.not_run:
+        retry_after_ms = max(_RETRY_LEAST_MS, reply.queue_ms)
+        spread_ms = random.random() * _RETRY_SPREAD_MS  # noqa: S311
+        return refusal_response(
+            calls.Refusal(
+                _UNAVAILABLE,
+                reply.reason,
+                Outcome.not_run,
+                reply.body.decode(errors='replace'),
+                retry_after_ms + spread_ms,
+            ),
+        )
+    status = reply.status
+    if status != _GATEWAY_TIMEOUT:
+        status = _BAD_GATEWAY
+    return refusal_response(
+        calls.Refusal(
+            status,
+            reply.reason,
+            Outcome.unknown,
+            reply.body.decode(errors='replace'),
+        ),
+    )
+
+
+def refusal_response(refusal: calls.Refusal) -> web.Response:
+    """Return a refusal as an answer, with Retry-After where it has one."""
+    heads: Headers = (('Content-Type', 'text/plain'),)
+    if refusal.retry_after_ms > 0:
+        wait_s = refusal.retry_after_ms / _MS_PER_S
+        heads = (*heads, ('Retry-After', f'{wait_s:.2f}'))
+    text = f'{refusal.reason}: {refusal.detail}\n'
+    return _raw_response(refusal.status, heads, text.encode())
+
+
+def _raw_response(status: int, heads: Headers, body: bytes) -> web.Response:
+    response = web.Response(status=status, body=body)
+    response.headers.clear()
+    for name, text in heads:
+        response.headers.add(name, text)
+    return response
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -214,7 +214,7 @@
             parts.publisher.publish()
             pressure = parts.admission.pressure()
             parts.metrics.gauge('load', pressure.load)
-            parts.metrics.gauge('shed', pressure.shed_level)
+            parts.metrics.gauge('shed_part', parts.overload.gate.shed_part)
             parts.metrics.gauge('plan', parts.feed.current.version)
             parts.metrics.gauge('peers', parts.membership.count_alive())
             parts.metrics.gauge('lines_left_out', self._lines.left_out)
--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -18,6 +18,11 @@
 from chivelead_node._internal import calls
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.proxy.answers import (
+    refusal_response,
+    reply_response,
+    spread,
+)
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
 from chivelead_node._internal.proxy.overload import OverloadView
 from chivelead_node._internal.requests import read_body
@@ -25,7 +30,6 @@
 _UNAUTHORISED = 401
 _NOT_FOUND = 404
 _TOO_MANY = 429
-_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _MS_PER_S = 1000
@@ -36,9 +40,8 @@
 _INNER_QUEUE_PART = 0.5
 # Refused callers come back when overload has had time to pass.
 _SHED_RETRY_MS = 700.0
-# Spread of Retry-After, so that refused callers do not come back together.
-_RETRY_LEAST_MS = 200.0
-_RETRY_SPREAD_MS = 400.0
+# A node without a plan, or about to close, is back or left by then.
+_UNAVAILABLE_RETRY_MS = 200.0
 _SEED_BITS = 32
 _HOP_HEADERS = frozenset(
     (
@@ -153,13 +156,13 @@
                 why=refusal.detail,
                 retry_after_ms=round(refusal.retry_after_ms),
             )
-            return _refusal_response(refusal)
+            return refusal_response(refusal)
         self._held_bytes += len(call.body)
         try:
             reply = await self._run(call)
         finally:
             self._held_bytes -= len(call.body)
-        response = _response(reply)
+        response = reply_response(reply)
         self._note(
             request_id,
             arrived_ms,
@@ -292,7 +295,7 @@
                 _UNAVAILABLE,
                 'shed',
                 f'{overloaded} is overloaded',
-                retry_after_ms=_spread(_SHED_RETRY_MS),
+                retry_after_ms=spread(_SHED_RETRY_MS),
             )
 
     def _choose_service(self, route: PlanRoute) -> str:
@@ -353,60 +356,10 @@
     return route.importance if rank is None else rank
 
 
-def _spread(wait_ms: float) -> float:
-    """Return up to twice a time, so that callers do not come together."""
-    return wait_ms * (1 + random.random())  # noqa: S311
-
-
 def _unavailable(reason: str) -> calls.RefusedCallError:
     return calls.refused(
         _UNAVAILABLE,
         reason,
         'this node cannot take the request now',
-        retry_after_ms=_RETRY_LEAST_MS,
+        retry_after_ms=_UNAVAILABLE_RETRY_MS,
     )
-
-
-def _response(reply: CallReply) -> web.Response:
-    if not reply.reason:
-        return _raw_response(reply.status, reply.headers, reply.body)
-    if reply.outcome == Outcome.not_run:
-        retry_after_ms = max(_RETRY_LEAST_MS, reply.queue_ms)
-        spread_ms = random.random() * _RETRY_SPREAD_MS  # noqa: S311
-        return _refusal_response(
-            calls.Refusal(
-                _UNAVAILABLE,
-                reply.reason,
-                Outcome.not_run,
-                reply.body.decode(errors='replace'),
-                retry_after_ms + spread_ms,
-            ),
-        )
-    status = reply.status
-    if status != _GATEWAY_TIMEOUT:
-        status = _BAD_GATEWAY
-    return _refusal_response(
-        calls.Refusal(
-            status,
-            reply.reason,
-            Outcome.unknown,
-            reply.body.decode(errors='replace'),
-        ),
-    )
-
-
-def _refusal_response(refusal: calls.Refusal) -> web.Response:
-    heads: Headers = (('Content-Type', 'text/plain'),)
-    if refusal.retry_after_ms > 0:
-        wait_s = refusal.retry_after_ms / _MS_PER_S
-        heads = (*heads, ('Retry-After', f'{wait_s:.2f}'))
-    text = f'{refusal.reason}: {refusal.detail}\n'
-    return _raw_response(refusal.status, heads, text.encode())
-
-
-def _raw_response(status: int, heads: Headers, body: bytes) -> web.Response:
-    response = web.Response(status=status, body=body)
-    response.headers.clear()
-    for name, text in heads:
-        response.headers.add(name, text)
-    return response
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -51,11 +51,7 @@
     Need as Need,
     Outcome as Outcome,
     Ping as Ping,
-    PlanPull as PlanPull,
-    PlanText as PlanText,
     Pong as Pong,
-    Pulse as Pulse,
-    PulseCounts as PulseCounts,
     ReturnUnits as ReturnUnits,
     SharesReleased as SharesReleased,
     StatusQuery as StatusQuery,
@@ -68,3 +64,9 @@
     TokenGrant as TokenGrant,
     UnitsLent as UnitsLent,
 )
+from chivelead_protocol._internal.pulse_messages import (
+    PlanPull as PlanPull,
+    PlanText as PlanText,
+    Pulse as Pulse,
+    PulseCounts as PulseCounts,
+)
