--- a/packages/node/src/chivelead_node/__init__.py
+++ b/packages/node/src/chivelead_node/__init__.py
@@ -1,3 +1,1 @@
-"""The node daemon of chivelead."""
-
-from chivelead_node._internal.daemon import NodeDaemon as NodeDaemon
+"""The node daemon of chivelead; its face is the command ``chivelead-node``."""
--- a/packages/node/src/chivelead_node/_internal/lines.py
+++ b/packages/node/src/chivelead_node/_internal/lines.py
@@ -17,7 +17,7 @@
 _LINES_PER_S = types.MappingProxyType(
     {'served': 40, 'failed': 120, 'node': 200},
 )
-_FLUSH_PERIOD_S = 0.1
+_FLUSH_PERIOD_S = 0.25
 _TOLD_PERIOD_S = 5.0
 # Lines that wait while the reader is slow; about 1 MB.
 _BUFFER_LINES = 4000
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -252,6 +252,8 @@
         return reply
 
     async def _run_here(self, request: CallRequest) -> CallReply:
+        if request.idempotent:
+            return await self._answer_here(request)
         # The caller may go while a call runs that must not be broken off.
         running = asyncio.ensure_future(self._answer_here(request))
         self._running_here.add(running)
--- a/packages/node/src/chivelead_node/_internal/proxy/pulses.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/pulses.py
@@ -17,7 +17,7 @@
 
 # Counts may lag by one period: within a region links are cheap, beyond it
 # each byte is billed.
-_PERIOD_S = 0.4
+_PERIOD_S = 0.5
 _FAR_PERIOD_S = 1.5
 _TIMEOUT_MS = 1000.0
 _SPREAD = 0.2
--- a/packages/node/src/chivelead_node/_internal/proxy/target_watch.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/target_watch.py
@@ -12,7 +12,7 @@
 from chivelead_node._internal.proxy.registration import TargetRegistration
 from chivelead_node._internal.proxy.target_state import TargetPublisher
 
-_PERIOD_S = 0.1
+_PERIOD_S = 0.25
 # With several calls in flight even a slow target answers one within this.
 _SILENCE_MS = 1000.0
 _CALLS_LEAST = 2
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -49,7 +49,8 @@
 FRAME_LIMIT_BYTES = 75_497_472
 _NONCE_BYTES = 16
 _CLOSE_TIMEOUT_S = 0.2
-_CHECK_PERIOD_S = 0.2
+# One timer for each link; the loss of a busy link is found this much later.
+_CHECK_PERIOD_S = 0.4
 
 Answer = Callable[[str, Any], Awaitable[Any]]
 _Connection = ClientConnection | ServerConnection
