--- a/packages/node/src/chivelead_node/_internal/proxy/directory.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/directory.py
@@ -4,7 +4,6 @@
 import dataclasses
 import json
 import logging
-import random
 from collections.abc import Callable
 
 from chivelead_coordination import (
@@ -22,6 +21,7 @@
 )
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.backoff import Backoff
 
 logger = logging.getLogger(__name__)
 
@@ -30,10 +30,6 @@
 # Three renewals may fail before an entry ends.
 LEASE_MS = 4000
 _KEEP_PERIOD_S = 1.2
-# Entries are back within 2 s of the store's return, so a failed call is
-# repeated several times in that span, by each node at another moment.
-_RETRY_S = 0.3
-_RETRY_SPREAD_S = 0.2
 _WATCH_MS = 5000
 # An entry that is missing for longer after an outage belongs to a dead node.
 _MISSING_GRACE_S = 2.0
@@ -100,6 +96,7 @@
             self._changed.set()
 
     async def _hold_forever(self) -> None:
+        backoff = Backoff()
         while True:
             try:
                 await self._hold_once()
@@ -112,8 +109,9 @@
             except StoreError as error:
                 self._note_store(answers=False, reason=str(error))
                 self._revision = None
-                await asyncio.sleep(_retry_s())
+                await asyncio.sleep(backoff.next_s())
             else:
+                backoff.succeeded()
                 self._note_store(answers=True)
                 await self._wait_for_change()
 
@@ -148,18 +146,20 @@
             return
 
     async def _follow_forever(self) -> None:
+        backoff = Backoff()
         while True:
             try:
-                await self._follow()
+                await self._follow(backoff)
             except HistoryLostError as error:
                 self._events.node('directory-history-lost', why=str(error))
             except StoreError as error:
                 logger.debug('follow entries: %s', error)
-                await asyncio.sleep(_retry_s())
+                await asyncio.sleep(backoff.next_s())
 
-    async def _follow(self) -> None:
+    async def _follow(self, backoff: Backoff) -> None:
         """List all entries, then apply changes until a watch fails."""
         listing = await self._store.list_prefix(PREFIX)
+        backoff.succeeded()
         self._present = {entry.key for entry in listing.entries}
         for entry in listing.entries:
             self._take_in(entry.text)
@@ -214,10 +214,6 @@
         self._events.node(name, why=reason)
 
 
-def _retry_s() -> float:
-    return _RETRY_S + random.random() * _RETRY_SPREAD_S  # noqa: S311
-
-
 def _parse_member(text: str) -> Member:
     raw = json.loads(text)
     if not isinstance(raw, dict):
--- a/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable
 
 from chivelead_config import EMPTY_PLAN, TrafficPlan
@@ -16,14 +15,13 @@
 )
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.backoff import Backoff
 
 logger = logging.getLogger(__name__)
 
 # A watch that has gone quiet hides a change for at most this long; an edit
 # has to be in force within 2.5 s, and peers bring it sooner.
 _WATCH_MS = 2000
-_RETRY_S = 0.25
-_RETRY_SPREAD_S = 0.15
 _PULL_TIMEOUT_MS = 1000
 
 Listener = Callable[[TrafficPlan], None]
@@ -103,17 +101,18 @@
             self._take_in(reply.text, vm)
 
     async def _follow_forever(self) -> None:
+        backoff = Backoff()
         while True:
             try:
-                await self._follow()
+                await self._follow(backoff)
             except StoreError as error:
                 logger.debug('follow plan: %s', error)
-                spread_s = random.random() * _RETRY_SPREAD_S  # noqa: S311
-                await asyncio.sleep(_RETRY_S + spread_s)
+                await asyncio.sleep(backoff.next_s())
 
-    async def _follow(self) -> None:
+    async def _follow(self, backoff: Backoff) -> None:
         """Read the plan, then watch it until a watch fails."""
         listing = await self._store.list_prefix(self._key)
+        backoff.succeeded()
         for entry in listing.entries:
             if entry.key == self._key:
                 self._take_in(entry.text, 'store')
--- a/packages/node/src/chivelead_node/_internal/proxy/target_watch.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/target_watch.py
@@ -16,8 +16,10 @@
 # With several calls in flight even a slow target answers one within this.
 _SILENCE_MS = 1000.0
 _CALLS_LEAST = 2
-# Failures in a row without any answer, as when connections are refused.
+# Failures in a row without any answer for this long, as when connections are
+# refused; a target that loses a part of its answers gives others in between.
 _FAILURES_MOST = 3
+_FAILING_MS = 300.0
 
 
 @dataclasses.dataclass
@@ -61,11 +63,12 @@
 
     def is_silent(self) -> bool:
         """Tell whether the target has stopped to answer."""
+        answered_ms = self._seen.answered_ms
         if self._seen.failures >= _FAILURES_MOST:
-            return True
+            return answered_ms < loop_ms() - _FAILING_MS
         horizon_ms = loop_ms() - _SILENCE_MS
         waiting = sum(at < horizon_ms for at in self._started.values())
-        return waiting >= _CALLS_LEAST and self._seen.answered_ms < horizon_ms
+        return waiting >= _CALLS_LEAST and answered_ms < horizon_ms
 
     def begin_anew(self) -> None:
         """Forget failures, since the target has answered a probe."""
--- /dev/null
+++ b/packages/node/tests/unit/test_target_watch.py
@@ -0,0 +1,67 @@
+"""When a target counts as silent."""
+
+import asyncio
+
+import pytest
+from chivelead_coordination import Membership
+from chivelead_node._internal.proxy.overload import OverloadView
+from chivelead_node._internal.proxy.target_watch import RunWatch
+from chivelead_protocol import CallRequest
+from lib.fakes import make_member
+
+pytestmark = pytest.mark.looptime
+
+
+def make_call(number):
+    """Return a call."""
+    return CallRequest(
+        request_id=f'r{number}',
+        attempt_id=f'a{number}',
+        service='stock',
+        route='read',
+        method='GET',
+        path='/',
+        headers=(),
+        body=b'',
+        organisation='mill',
+        importance=5,
+        idempotent=True,
+        timeout_ms=1000,
+        retry_allowance=0,
+        queue_limit_ms=0,
+    )
+
+
+def make_watch():
+    """Return a watch."""
+    return RunWatch(OverloadView(Membership(make_member('vm-1'))))
+
+
+async def test_target_that_loses_some_answers_is_not_silent():
+    watch = make_watch()
+    for number in range(100):
+        call = make_call(number)
+        watch.admitted(call)
+        await asyncio.sleep(0.01)
+        watch.ended(call, answered=number % 5 == 0)
+        assert not watch.is_silent()
+
+
+async def test_target_that_only_fails_is_silent_soon():
+    watch = make_watch()
+    for number in range(40):
+        call = make_call(number)
+        watch.admitted(call)
+        await asyncio.sleep(0.01)
+        watch.ended(call, answered=False)
+    assert watch.is_silent()
+
+
+async def test_target_that_answers_nothing_is_silent_after_a_second():
+    watch = make_watch()
+    watch.admitted(make_call(1))
+    watch.admitted(make_call(2))
+    await asyncio.sleep(0.9)
+    assert not watch.is_silent()
+    await asyncio.sleep(0.2)
+    assert watch.is_silent()
