--- a/packages/policy/tests/unit/test_overload.py
+++ b/packages/policy/tests/unit/test_overload.py
@@ -85,7 +85,8 @@
 async def test_heavier_overload_reaches_the_next_class():
     refused = await offer(EntryShedder(1), {'stock': 0.7})
     assert refused['browse'] == pytest.approx(1, abs=0.05)
-    assert refused['check'] > refused['book']
+    # 70% of 943 calls, less the 640 of browse, are 20 of the 55 of check.
+    assert refused['check'] == pytest.approx(0.36, abs=0.2)
     assert refused['book'] == pytest.approx(0, abs=0.05)
 
 
@@ -99,7 +100,8 @@
             control.note(refused=True)
         await pass_time(0.6)
         control.tend(1.0)
-    assert control.shed_part > 1 / 2
+    # Six steps at 40% refused, each correcting 0.6 of that.
+    assert control.shed_part == pytest.approx(0.81, abs=0.1)
     for _ in range(40):
         control.note(refused=False)
         await pass_time(0.6)
