Call targets over plain connections; read links in the transport's callbacks

A profile of two nodes against the stand-ins shows about a third of it in the client session of aiohttp and in the reading tasks of websockets, with nothing decided there.

Ruled out: system calls (65 us of 726 us a call at the entry); the HTTP server (147 us a call by itself).

Change: LocalTarget keeps aiohttp's connection handlers and parser and writes a request in one piece; links run the state machine of websockets in the callbacks of the transport. An idle connection is closed before the target's own timeout, one with stray bytes is not used again, and an answer to an earlier request is passed over instead of failing the call.

--- a/packages/node/src/chivelead_node/_internal/dialects.py
+++ b/packages/node/src/chivelead_node/_internal/dialects.py
@@ -32,12 +32,13 @@
     def is_refusal(self, answer: TargetAnswer) -> bool:
         """Tell whether the target says that it has not run the request."""
 
-    def check(self, request: CallRequest, status: int, heads: Headers) -> None:
-        """Check that the head of an answer belongs to a request.
+    def check(self, request: CallRequest, status: int, heads: Headers) -> bool:
+        """Tell whether the head of an answer belongs to a request.
 
         Raises:
-            TargetFailedError: It does not, or is no answer of a target.
+            TargetFailedError: It is no answer of a target.
         """
+        return True
 
 
 class ChiveleadDialect(TargetDialect):
@@ -51,6 +52,8 @@
     ) -> Headers:
         """Return the token, identity, time and organisation."""
         return (
+            # Targets of chivelead's own interface serve one host.
+            ('Host', request.service),
             (calls.HEADER_TOKEN, token),
             (calls.HEADER_REQUEST_ID, request.request_id),
             (calls.HEADER_TIMEOUT, f'{left_ms:.0f}'),
--- a/packages/node/src/chivelead_node/_internal/proxy/dialect.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/dialect.py
@@ -50,16 +50,20 @@
             return False
         return _find(answer.headers, self._names.not_run) is not None
 
-    def check(self, request: CallRequest, status: int, heads: Headers) -> None:
-        """Accept an answer to this very request only."""
+    def check(self, request: CallRequest, status: int, heads: Headers) -> bool:
+        """Tell whether an answer is for this very request."""
         names = self._names
-        if _find(heads, names.request_id) != request.request_id:
-            raise TargetFailedError('answer to another request', ran=True)
+        answered_id = _find(heads, names.request_id)
+        if answered_id is None:
+            raise TargetFailedError('an answer without its request', ran=True)
+        if answered_id != request.request_id:
+            return False
         if _find(heads, 'Content-Encoding') is not None:
             raise TargetFailedError('the body is encoded', ran=True)
         is_stamped = _find(heads, names.answer_stamp) is not None
         if _is_success(status) and not is_stamped:
             raise TargetFailedError('a success without its stamp', ran=True)
+        return True
 
 
 def _is_success(status: int) -> bool:
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -1,21 +1,29 @@
 """The target of this VM: what it announces and how it is called."""
 
-import asyncio
 import dataclasses
-import functools
-import logging
 from collections.abc import Callable
 from typing import Any
 
 import aiohttp
-import yarl
-from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 from chivelead_protocol import Headers, TargetState, now_ms
 
-logger = logging.getLogger(__name__)
-
-_KEEP_ALIVE_S = 60
-_MS_PER_S = 1000
+from chivelead_node._internal.target_connections import (
+    TargetConnection,
+    TargetConnections,
+    encode_request,
+    idle_limit_ms,
+)
+
+# What the HTTP library raises for an answer that is cut off or garbled.
+_BROKEN_ANSWERS = (
+    aiohttp.ClientError,
+    aiohttp.EofStream,
+    HttpProcessingError,
+    OSError,
+)
+# Answers to earlier requests that may stand before the own one.
+_STRAY_ANSWERS_MOST = 2
 _STATE_WORDS = frozenset(state.value for state in TargetState)
 _NUMBER_HIGH = 100_000
 _PORT_HIGH = 65535
@@ -101,24 +109,18 @@
         self.announcement: Announcement | None = None
         self.announced_ms = 0.0
         self._body_limit = body_limit_bytes
-        self._session: aiohttp.ClientSession | None = None
+        self._connections: TargetConnections | None = None
 
     async def announce(self, announcement: Announcement) -> None:
         """Take in an announcement; a new address gets new connections."""
         known = self.announcement
         self.announcement = announcement
         self.announced_ms = now_ms()
-        if (
-            known is not None
-            and self._session is not None
-            and (known.host, known.port, known.connections)
-            == (announcement.host, announcement.port, announcement.connections)
-        ):
+        address = (announcement.host, announcement.port)
+        if known is not None and (known.host, known.port) == address:
             return
-        old_session = self._session
-        self._session = _make_session(announcement.connections)
-        if old_session is not None:
-            await old_session.close()
+        await self.close()
+        self._connections = TargetConnections(*address)
 
     def close_for_new_work(self) -> None:
         """Take the target for one that is leaving."""
@@ -130,8 +132,8 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        if self._connections is not None:
+            self._connections.close()
 
     async def call(
         self,
@@ -139,7 +141,7 @@
         path: str,
         headers: Headers,
         body: bytes,
-        check: Callable[[int, Headers], None],
+        check: Callable[[int, Headers], bool],
     ) -> TargetAnswer:
         """Send one request to the target and return its whole answer.
 
@@ -148,44 +150,54 @@
             path: Path and query, encoded as the caller sent them.
             headers: All headers of the request.
             body: Whole body.
-            check: Raises TargetFailedError for a head that is not accepted.
+            check: Tells whether a head answers this very request; raises
+                TargetFailedError for one that is not accepted.
 
         Raises:
             TargetFailedError: There is no whole answer.
         """
-        session = self._session
-        announcement = self.announcement
-        if session is None or announcement is None:
+        connections = self._connections
+        if connections is None:
             raise TargetFailedError('no target is announced', ran=False)
         try:
-            async with session.request(
-                method,
-                yarl.URL(
-                    f'http://{announcement.host}:{announcement.port}{path}',
-                    encoded=True,
-                ),
-                headers=headers,
-                data=body or None,
-                allow_redirects=False,
-            ) as answer:
-                heads = tuple(answer.headers.items())
-                _check_head(answer, heads, check)
-                body = await self._read(answer)
-                return TargetAnswer(answer.status, heads, body)
-        except aiohttp.ClientConnectorError as error:
+            raw = encode_request(method, path, headers, body)
+            connection = await connections.take(has_body=method != 'HEAD')
+        except (OSError, ValueError) as error:
             raise TargetFailedError(str(error), ran=False) from error
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+        try:
+            connection.write(raw)
+            answer = await self._receive(connection, check)
+        except _BROKEN_ANSWERS as error:
+            connection.abort()
             raise TargetFailedError(repr(error), ran=True) from error
-
-    async def _read(self, answer: aiohttp.ClientResponse) -> bytes:
-        length = answer.content_length or 0
-        if length > self._body_limit:
-            raise TargetFailedError('the answer is too large', ran=True)
-        if length:
-            return await answer.read()
+        except BaseException:
+            # What follows on this connection belongs to nobody.
+            connection.abort()
+            raise
+        connections.give_back(connection, idle_limit_ms(answer.headers))
+        return answer
+
+    async def _receive(
+        self,
+        connection: TargetConnection,
+        check: Callable[[int, Headers], bool],
+    ) -> TargetAnswer:
+        """Return the answer, past such as belong to earlier requests."""
+        for _ in range(_STRAY_ANSWERS_MOST + 1):
+            head, payload = await connection.read_answer()
+            heads = tuple(head.headers.items())
+            is_own = check(head.code, heads)
+            body = await self._read(payload)
+            if is_own:
+                return TargetAnswer(head.code, heads, body)
+        raise TargetFailedError('answers to other requests', ran=True)
+
+    async def _read(self, payload: aiohttp.StreamReader) -> bytes:
+        if payload.is_eof() and payload.total_bytes <= self._body_limit:
+            return payload.read_nowait()
         chunks = []
         size = 0
-        async for chunk in answer.content.iter_any():
+        async for chunk in payload.iter_any():
             size += len(chunk)
             if size > self._body_limit:
                 raise TargetFailedError('the answer is too large', ran=True)
@@ -193,61 +205,6 @@
         return b''.join(chunks)
 
 
-def _check_head(
-    answer: aiohttp.ClientResponse,
-    heads: Headers,
-    check: Callable[[int, Headers], None],
-) -> None:
-    try:
-        check(answer.status, heads)
-    except TargetFailedError:
-        # What follows on this connection belongs to nobody.
-        answer.close()
-        raise
-
-
-class _StrictHandler(ResponseHandler):
-    """Take an answer that a reset has cut for what it is.
-
-    The library takes the end of a connection for the end of a body without a
-    length, whether the connection was closed or reset.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is under way, unless it ends in order."""
-        body = self._payload
-        if exc is not None and body is not None and not body.is_eof():
-            body.set_exception(aiohttp.ClientPayloadError('reset'))
-        super().connection_lost(exc)
-
-
-def _make_session(connections: int) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
-        limit=max(1, connections),
-        keepalive_timeout=_KEEP_ALIVE_S,
-        use_dns_cache=False,
-    )
-    setattr(  # noqa: B010
-        connector,
-        '_factory',
-        functools.partial(
-            _StrictHandler,
-            loop=asyncio.get_running_loop(),
-        ),
-    )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        timeout=aiohttp.ClientTimeout(total=None),
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Accept'),
-    )
-    # The library would repeat a GET on a reused connection that was closed,
-    # and a route that must not be repeated may well be a GET.
-    session._retry_connection = False  # noqa: SLF001, WPS437
-    return session
-
-
 def _text(raw: dict[str, Any], name: str) -> str:
     text = raw.get(name)
     if not isinstance(text, str) or not text:
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -8,7 +8,7 @@
 from chivelead_protocol._internal.codec import decode_frame as decode_frame
 from chivelead_protocol._internal.codec import encode_frame as encode_frame
 from chivelead_protocol._internal.link import PeerLink as PeerLink
-from chivelead_protocol._internal.link import PeerServer as PeerServer
+from chivelead_protocol._internal.link_server import PeerServer as PeerServer
 from chivelead_protocol._internal.exceptions import (
     AuthenticationError as AuthenticationError,
     ChiveleadError as ChiveleadError,
--- /dev/null
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -0,0 +1,209 @@
+"""Whole messages over one websocket connection, without a task for reading.
+
+The state machine of the websocket library runs right in the callbacks of the
+transport: a frame costs no wake-up of a reading task.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from websockets.client import ClientProtocol
+from websockets.exceptions import ConnectionClosed, InvalidState
+from websockets.frames import Frame, Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from chivelead_protocol._internal.clock import now_ms
+from chivelead_protocol._internal.exceptions import (
+    LinkLostError,
+    LinkNotOpenError,
+)
+
+# The largest body that the limits of callers allow, and room for headers.
+FRAME_LIMIT_BYTES = 75_497_472
+
+TakeFrame = Callable[[bytes], None]
+
+
+class Channel(asyncio.Protocol):
+    """One side of a connection that carries binary frames.
+
+    Attributes:
+        heard_ms: When bytes came in last, by ``now_ms``.
+        on_frame: Called with each frame.
+        on_close: Called once when the connection has ended.
+    """
+
+    def __init__(self, machine: ClientProtocol | ServerProtocol) -> None:
+        """Prepare; the loop connects it."""
+        self.heard_ms = now_ms()
+        self.on_frame: TakeFrame = _drop_frame
+        self.on_close: Callable[[], None] = _do_nothing
+        self._machine = machine
+        self._transport: asyncio.Transport | None = None
+        self._opened: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._writable: asyncio.Future[None] | None = None
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address of the other side, for the log."""
+        if self._transport is None:
+            return 'unknown'
+        return str(self._transport.get_extra_info('peername'))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin the handshake on the side that connects."""
+        self._transport = cast('asyncio.Transport', transport)
+        if isinstance(self._machine, ClientProtocol):
+            self._machine.send_request(self._machine.connect())
+            self._flush()
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Take in bytes."""
+        self.heard_ms = now_ms()
+        self._machine.receive_data(data)
+        self._handle_events()
+
+    def eof_received(self) -> None:
+        """Take in the end of the stream; the transport closes itself."""
+        self._machine.receive_eof()
+        self._handle_events()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner that the connection has ended."""
+        self._transport = None
+        self.resume_writing()
+        if not self._opened.done():
+            self._opened.set_exception(
+                LinkNotOpenError('open a link', 'the peer closed it'),
+            )
+            # Nobody may be waiting any more.
+            self._opened.exception()
+        self.on_close()
+
+    def pause_writing(self) -> None:
+        """Let writers wait until the peer reads on."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    async def opened(self) -> None:
+        """Wait for the end of the handshake.
+
+        Raises:
+            LinkNotOpenError: The other side is no websocket peer.
+        """
+        await self._opened
+
+    def send(self, raw: bytes) -> None:
+        """Send one frame.
+
+        Raises:
+            LinkLostError: The connection has ended.
+        """
+        if self._transport is None:
+            raise LinkLostError('send a frame', 'the link is closed')
+        try:
+            self._machine.send_binary(raw)
+        except (ConnectionClosed, InvalidState) as error:
+            raise LinkLostError('send a frame', 'the link is closed') from error
+        self._flush()
+
+    async def drain(self) -> None:
+        """Wait while the peer does not take in what was sent."""
+        waiting = self._writable
+        if waiting is not None:
+            await asyncio.shield(waiting)
+
+    def close(self) -> None:
+        """Say goodbye and close."""
+        if self._transport is None:
+            return
+        if self._machine.state is State.OPEN:
+            self._machine.send_close()
+            self._flush()
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once; nothing more is sent."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _handle_events(self) -> None:
+        for event in self._machine.events_received():
+            if isinstance(event, Frame):
+                self._take_in(event)
+            elif isinstance(event, Request):
+                self._accept(event)
+            elif isinstance(event, Response):
+                self._note_open()
+        self._flush()
+        if self._machine.close_expected() and self._transport is not None:
+            self._transport.close()
+
+    def _take_in(self, frame: Frame) -> None:
+        # Control frames are answered by the state machine; this side sends
+        # and expects whole messages only.
+        if frame.opcode is Opcode.BINARY and frame.fin:
+            self.on_frame(bytes(frame.data))
+        elif frame.opcode in {Opcode.TEXT, Opcode.BINARY, Opcode.CONT}:
+            self.abort()
+
+    def _accept(self, request: Request) -> None:
+        machine = cast('ServerProtocol', self._machine)
+        machine.send_response(machine.accept(request))
+        self._note_open()
+
+    def _note_open(self) -> None:
+        if self._opened.done():
+            return
+        if self._machine.state is State.OPEN:
+            self._opened.set_result(None)
+        else:
+            self._opened.set_exception(
+                LinkNotOpenError('open a link', 'the handshake was refused'),
+            )
+            self._opened.exception()
+
+    def _flush(self) -> None:
+        transport = self._transport
+        for chunk in self._machine.data_to_send():
+            if transport is None:
+                return
+            if chunk:
+                transport.write(chunk)
+            elif transport.can_write_eof():
+                transport.write_eof()
+
+
+def client_channel(host: str, port: int) -> Channel:
+    """Return the side that connects."""
+    return Channel(
+        ClientProtocol(
+            parse_uri(f'ws://{host}:{port}'),
+            max_size=FRAME_LIMIT_BYTES,
+        ),
+    )
+
+
+def server_channel() -> Channel:
+    """Return the side that listens."""
+    return Channel(ServerProtocol(max_size=FRAME_LIMIT_BYTES))
+
+
+def _drop_frame(raw: bytes) -> None:
+    """Ignore frames that come before anybody expects them."""
+
+
+def _do_nothing() -> None:
+    """Ignore the end of a connection that nobody has used."""
--- /dev/null
+++ b/packages/protocol/src/chivelead_protocol/_internal/handshake.py
@@ -0,0 +1,128 @@
+"""Proof that both sides of a link hold the secret of the fleet."""
+
+import asyncio
+import hashlib
+import hmac
+import secrets
+
+from chivelead_protocol._internal.channel import Channel
+from chivelead_protocol._internal.clock import HybridClock
+from chivelead_protocol._internal.codec import decode_frame, encode_frame
+from chivelead_protocol._internal.exceptions import (
+    AuthenticationError,
+    LinkLostError,
+    ProtocolError,
+)
+from chivelead_protocol._internal.messages import Hello
+
+_NONCE_BYTES = 16
+
+
+class FrameQueue:
+    """Frames of a channel one by one, until its owner takes them itself.
+
+    Args:
+        channel: Where they come from.
+    """
+
+    def __init__(self, channel: Channel) -> None:
+        """Begin to collect."""
+        self._frames: asyncio.Queue[bytes | None] = asyncio.Queue()
+        channel.on_frame = self._frames.put_nowait
+        channel.on_close = self._note_end
+
+    async def next(self) -> bytes:
+        """Return the next frame.
+
+        Raises:
+            LinkLostError: The connection has ended.
+        """
+        raw = await self._frames.get()
+        if raw is None:
+            raise LinkLostError('authenticate', 'the peer closed the link')
+        return raw
+
+    def rest(self) -> list[bytes]:
+        """Return the frames that nobody has asked for."""
+        frames = []
+        while not self._frames.empty():
+            raw = self._frames.get_nowait()
+            if raw is not None:
+                frames.append(raw)
+        return frames
+
+    def _note_end(self) -> None:
+        self._frames.put_nowait(None)
+
+
+async def prove_to_server(
+    channel: Channel,
+    frames: FrameQueue,
+    own_vm: str,
+    secret: bytes,
+    clock: HybridClock,
+) -> str:
+    """Authenticate both sides and return the name of the server.
+
+    Raises:
+        AuthenticationError: The server does not hold the secret.
+        ProtocolError: It says something else.
+    """
+    own_nonce = secrets.token_bytes(_NONCE_BYTES)
+    _say_hello(channel, clock, Hello(own_vm, own_nonce, b''))
+    answer = _expect_hello(await frames.next())
+    nonces = own_nonce + answer.nonce
+    expected = _proof(secret, 'server', answer.vm, nonces)
+    if not hmac.compare_digest(expected, answer.proof):
+        raise AuthenticationError(
+            f'connect to {channel.peer_address}',
+            'the peer does not hold the secret of the fleet',
+            'compare fleet_secret in the settings of both nodes',
+        )
+    proof = _proof(secret, 'client', own_vm, nonces)
+    _say_hello(channel, clock, Hello(own_vm, own_nonce, proof))
+    return answer.vm
+
+
+async def prove_to_client(
+    channel: Channel,
+    frames: FrameQueue,
+    own_vm: str,
+    secret: bytes,
+    clock: HybridClock,
+) -> str:
+    """Authenticate both sides and return the name of the client.
+
+    Raises:
+        AuthenticationError: The client does not hold the secret.
+        ProtocolError: It says something else.
+    """
+    hello = _expect_hello(await frames.next())
+    own_nonce = secrets.token_bytes(_NONCE_BYTES)
+    nonces = hello.nonce + own_nonce
+    own_proof = _proof(secret, 'server', own_vm, nonces)
+    _say_hello(channel, clock, Hello(own_vm, own_nonce, own_proof))
+    proven = _expect_hello(await frames.next())
+    expected = _proof(secret, 'client', hello.vm, nonces)
+    if not hmac.compare_digest(expected, proven.proof):
+        raise AuthenticationError(
+            f'link from {hello.vm}',
+            'the peer does not hold the secret of the fleet',
+        )
+    return hello.vm
+
+
+def _say_hello(channel: Channel, clock: HybridClock, hello: Hello) -> None:
+    channel.send(encode_frame(0, clock.stamp(), hello))
+
+
+def _proof(secret: bytes, role: str, vm: str, nonces: bytes) -> bytes:
+    text = f'{role}|{vm}|'.encode() + nonces
+    return hmac.new(secret, text, hashlib.sha256).digest()
+
+
+def _expect_hello(raw: bytes) -> Hello:
+    hello = decode_frame(raw).message
+    if not isinstance(hello, Hello):
+        raise ProtocolError('authenticate', 'the peer did not say hello')
+    return hello
--- /dev/null
+++ b/packages/protocol/src/chivelead_protocol/_internal/link_server.py
@@ -0,0 +1,190 @@
+"""The listening side of links: authenticate peers, answer their requests."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from chivelead_protocol._internal import messages
+from chivelead_protocol._internal.channel import Channel, server_channel
+from chivelead_protocol._internal.clock import MS_PER_S, HybridClock, now_ms
+from chivelead_protocol._internal.codec import decode_frame, encode_frame
+from chivelead_protocol._internal.exceptions import (
+    ChiveleadError,
+    LinkLostError,
+    ProtocolError,
+)
+from chivelead_protocol._internal.handshake import FrameQueue, prove_to_client
+from chivelead_protocol._internal.link import (
+    HANDSHAKE_TIMEOUT_MS,
+    SILENCE_MS,
+)
+
+logger = logging.getLogger(__name__)
+
+Answer = Callable[[str, Any], Awaitable[Any]]
+
+
+class PeerServer:
+    """Listen for peers.
+
+    Args:
+        own_vm: Name under which this process introduces itself.
+        secret: Secret of the fleet.
+        clock: Clock of this process.
+        answer: Called with the peer's name and each message; its result is
+            the reply, or None.
+    """
+
+    def __init__(
+        self,
+        own_vm: str,
+        secret: bytes,
+        clock: HybridClock,
+        answer: Answer,
+    ) -> None:
+        """Prepare a server; ``start`` listens."""
+        self._own_vm = own_vm
+        self._secret = secret
+        self._clock = clock
+        self._answer = answer
+        self._server: asyncio.Server | None = None
+        self._sessions: dict[Channel, asyncio.Task[None]] = {}
+
+    @property
+    def port(self) -> int:
+        """Return the port on which the server listens."""
+        if self._server is None:
+            return 0
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on ``host`` and ``port``."""
+        self._server = await asyncio.get_running_loop().create_server(
+            self._accept,
+            host,
+            port,
+        )
+
+    async def close(self) -> None:
+        """Stop listening and end all links."""
+        if self._server is not None:
+            self._server.close()
+        for channel, task in tuple(self._sessions.items()):
+            task.cancel()
+            channel.close()
+
+    def channels(self) -> tuple[Channel, ...]:
+        """Return the connections that are open."""
+        return tuple(self._sessions)
+
+    def _accept(self) -> Channel:
+        channel = server_channel()
+        task = asyncio.create_task(self._serve(channel))
+        self._sessions[channel] = task
+        task.add_done_callback(lambda _: self._sessions.pop(channel, None))
+        return channel
+
+    async def _serve(self, channel: Channel) -> None:
+        frames = FrameQueue(channel)
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_MS / MS_PER_S):
+                await channel.opened()
+                peer_vm = await prove_to_client(
+                    channel,
+                    frames,
+                    self._own_vm,
+                    self._secret,
+                    self._clock,
+                )
+        except (ChiveleadError, TimeoutError) as error:
+            logger.warning(
+                'link from %s refused: %s',
+                channel.peer_address,
+                error or 'the handshake took too long',
+            )
+            channel.close()
+            return
+        await _Session(channel, peer_vm, self._clock, self._answer).run(frames)
+
+
+class _Session:
+    """One authenticated link: a task for each message that needs one."""
+
+    def __init__(
+        self,
+        channel: Channel,
+        peer_vm: str,
+        clock: HybridClock,
+        answer: Answer,
+    ) -> None:
+        self._channel = channel
+        self._peer_vm = peer_vm
+        self._clock = clock
+        self._answer = answer
+        self._running: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
+        self._heard_ms = now_ms()
+
+    async def run(self, frames: FrameQueue) -> None:
+        """Answer messages until the connection ends or stays silent."""
+        channel = self._channel
+        channel.on_frame = self._take_in
+        channel.on_close = self._ended.set
+        for raw in frames.rest():
+            self._take_in(raw)
+        try:
+            await self._watch_silence()
+        finally:
+            channel.abort()
+            for task in tuple(self._running):
+                task.cancel()
+
+    async def _watch_silence(self) -> None:
+        while not self._ended.is_set():
+            left_ms = self._heard_ms + SILENCE_MS - now_ms()
+            if left_ms <= 0:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_ms / MS_PER_S):
+                    await self._ended.wait()
+
+    def _take_in(self, raw: bytes) -> None:
+        if now_ms() - self._heard_ms > SILENCE_MS:
+            # This process was paused, and the sender has long given up what
+            # lies in the socket.
+            self._ended.set()
+        if self._ended.is_set():
+            return
+        self._heard_ms = now_ms()
+        try:
+            frame = decode_frame(raw)
+        except ProtocolError as error:
+            logger.warning('link from %s: %s', self._peer_vm, error)
+            self._ended.set()
+            return
+        self._clock.merge(frame.stamp)
+        if isinstance(frame.message, messages.Ping):
+            self._reply(frame.sequence, messages.Pong())
+            return
+        task = asyncio.create_task(self._run(frame.sequence, frame.message))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _run(self, sequence: int, body: Any) -> None:
+        try:
+            reply = await self._answer(self._peer_vm, body)
+        except ChiveleadError as error:
+            reply = messages.Failure(str(error))
+        except Exception as error:
+            logger.exception('handling %s', type(body).__name__)
+            reply = messages.Failure(repr(error))
+        if sequence and reply is not None:
+            await self._channel.drain()
+            self._reply(sequence, reply)
+
+    def _reply(self, sequence: int, reply: Any) -> None:
+        raw = encode_frame(-sequence, self._clock.stamp(), reply)
+        with contextlib.suppress(LinkLostError):
+            self._channel.send(raw)
