Decode messages with fewer calls, and keep no events nobody can ask for

A count of calls shows 546 Python calls a request at the entry and 628 at the target's node; decoding checks each field by a call of its own, the wait queue adds up ten classes at each look, and a node on the platform keeps events that no message there can ask for.

Ruled out: cbor2 itself (a few us of 37 a message).

Change: plain fields are checked in one loop, headers travel as one list, the queue counts its waiters, time-outs of link requests are one timer each, tokens of calls are secret only where targets show them.

--- a/packages/node/src/chivelead_node/_internal/dialects.py
+++ b/packages/node/src/chivelead_node/_internal/dialects.py
@@ -1,6 +1,7 @@
 """How a node speaks with the target beside it."""
 
 import abc
+import secrets
 
 from chivelead_protocol import CallRequest, Headers, Outcome
 
@@ -8,6 +9,8 @@
 from chivelead_node._internal.targets import TargetAnswer
 
 _UNAVAILABLE = 503
+# 128 bits, as other keys that must not be guessed.
+_TOKEN_BYTES = 16
 
 
 class TargetDialect(abc.ABC):
@@ -28,6 +31,10 @@
             left_ms: Time left until the deadline.
         """
 
+    def make_token(self, request: CallRequest) -> str:
+        """Return a name for a call while it runs at the target."""
+        return request.attempt_id
+
     @abc.abstractmethod
     def is_refusal(self, answer: TargetAnswer) -> bool:
         """Tell whether the target says that it has not run the request."""
@@ -44,6 +51,10 @@
 class ChiveleadDialect(TargetDialect):
     """The headers of chivelead's own interface."""
 
+    def make_token(self, request: CallRequest) -> str:
+        """Return a secret, since calls of the target are known by it."""
+        return secrets.token_urlsafe(_TOKEN_BYTES)
+
     def request_headers(
         self,
         request: CallRequest,
--- a/packages/node/src/chivelead_node/_internal/events.py
+++ b/packages/node/src/chivelead_node/_internal/events.py
@@ -33,7 +33,7 @@
     Args:
         vm: Name of this VM.
         clock: Source of the stamps.
-        kept: Number of events to keep.
+        kept: Number of events to keep; zero where nobody can ask for them.
         log_calls: Whether all events of single calls go to the log.
         logged: Names of those that go to the log in any case.
         has_room: Tells whether a line of a kind may be written now.
@@ -59,7 +59,8 @@
 
     def call(self, event: str, request_id: str, **fields: object) -> None:
         """Note an event of one call."""
-        self._keep(event, {'request_id': request_id, **fields})
+        if self._recent.maxlen:
+            self._keep(event, {'request_id': request_id, **fields})
         is_logged = event in self._logged and self._has_room('failed')
         if is_logged or self._log_calls:
             self._write(event, {'request_id': request_id, **fields})
@@ -79,7 +80,8 @@
             request_id: Identity of the request.
             fields: The inputs of the decision and its outcome.
         """
-        self._keep(event, {'request_id': request_id, **fields})
+        if self._recent.maxlen:
+            self._keep(event, {'request_id': request_id, **fields})
         if self._has_room(kind):
             self._write(event, {'request_id': request_id, **fields})
 
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import secrets
 from typing import Any
 
 from chivelead_policy import (
@@ -30,7 +29,6 @@
     TargetFailedError,
 )
 
-_TOKEN_BYTES = 16
 _ATTEMPTS_REMEMBERED = 50_000
 _MS_PER_S = 1000
 _UNAVAILABLE = 503
@@ -205,7 +203,7 @@
         allowance: calls.Allowance,
         deadline_ms: float,
     ) -> CallReply:
-        token = secrets.token_urlsafe(_TOKEN_BYTES)
+        token = self._dialect.make_token(request)
         self._running[token] = calls.RunningRequest(
             request_id=request.request_id,
             organisation=request.organisation,
--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -99,7 +99,7 @@
         self._held_bytes = 0
         self._plan: TrafficPlan | None = None
         self._splits: dict[str, WeightedSplit] = {}
-        self._set_headers = frozenset(
+        self._own_headers = _HOP_HEADERS | frozenset(
             (
                 'authorization',
                 names.time_left_ms.lower(),
@@ -304,16 +304,15 @@
 
     def _forwarded(self, request: web.BaseRequest) -> Headers:
         """Return the headers for the target; none of them holds the key."""
-        named = request.headers.get('Connection', '').lower()
-        dropped = {word.strip() for word in named.split(',')}
+        dropped = self._own_headers
+        named = request.headers.get('Connection')
+        if named:
+            words = named.lower().split(',')
+            dropped = dropped.union(word.strip() for word in words)
         kept = [
             (name, text)
             for name, text in request.headers.items()
-            if not (
-                name.lower() in _HOP_HEADERS
-                or name.lower() in self._set_headers
-                or name.lower() in dropped
-            )
+            if name.lower() not in dropped
         ]
         kept.append((self._names.origin_service, self._own_service))
         return tuple(kept)
--- a/packages/node/src/chivelead_node/_internal/proxy/parts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/parts.py
@@ -53,7 +53,8 @@
 
 # The store answers in 4 ms, and in some hundred when it is slow.
 _STORE_TIMEOUT_MS = 1000.0
-_EVENTS_KEPT = 2000
+# Nodes here take no question for past events; the log has them.
+_EVENTS_KEPT = 0
 # 64 MiB, the bound for bodies of callers.
 _ANSWER_LIMIT_BYTES = 67_108_864
 _LOGGED_CALLS = frozenset(('refused', 'target-failed', 'attempt-failed'))
--- a/packages/policy/src/chivelead_policy/_internal/queues.py
+++ b/packages/policy/src/chivelead_policy/_internal/queues.py
@@ -156,14 +156,16 @@
         """Start empty."""
         self._classes = [_FairClass() for _ in range(_IMPORTANCE_LEVELS)]
         self._served: dict[str, float] = {}
+        self._size = 0
 
     def __len__(self) -> int:
         """Return the number of waiters."""
-        return sum(fair_class.size for fair_class in self._classes)
+        return self._size
 
     def push(self, waiter: Waiter) -> None:
         """Add a waiter to its class."""
         self._classes[waiter.importance].push(waiter)
+        self._size += 1
 
     def pop(self) -> Waiter:
         """Remove and return the next waiter of the highest class."""
@@ -171,18 +173,22 @@
             candidate for candidate in reversed(self._classes) if candidate.size
         )
         waiter = fair_class.pop(self._served)
+        self._size -= 1
         self.charge(waiter.organisation)
         return waiter
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a waiter that gave up."""
-        self._classes[waiter.importance].remove(waiter)
+        fair_class = self._classes[waiter.importance]
+        before = fair_class.size
+        fair_class.remove(waiter)
+        self._size += fair_class.size - before
 
     def evict_below(self, importance: int) -> Waiter | None:
         """Evict from the lowest class, the most numerous organisation."""
         for fair_class in self._classes[:importance]:
             if fair_class.size:
-                return fair_class.evict(self._served)
+                return self._evict(fair_class)
         return None
 
     def evict_for(self, newcomer: Waiter) -> Waiter | None:
@@ -193,13 +199,19 @@
             return evicted
         own_lane = fair_class.lane_of(newcomer.organisation)
         if fair_class.longest_lane() > own_lane + 1:
-            return fair_class.evict(self._served)
+            return self._evict(fair_class)
         return None
 
     def ahead_of(self, importance: int) -> int:
         """Return the waiters of this class and above."""
+        if not self._size:
+            return 0
         return sum(fair_class.size for fair_class in self._classes[importance:])
 
+    def _evict(self, fair_class: _FairClass) -> Waiter:
+        self._size -= 1
+        return fair_class.evict(self._served)
+
     def charge(self, organisation: str) -> None:
         """Count service, so that old service fades."""
         for name in self._served:
--- a/packages/protocol/src/chivelead_protocol/_internal/codec.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/codec.py
@@ -18,6 +18,7 @@
 _Convert = Callable[[Any], Any]
 _HEADER_LENGTH = 3
 _TextPairs = tuple[tuple[str, str], ...]
+_PLAIN_TYPES = frozenset((str, int, bytes, bool))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,13 +39,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Plan:
-    """How one dataclass is packed and unpacked."""
+    """How one dataclass is packed and unpacked.
+
+    Attributes:
+        encoders: Positions of the fields that CBOR cannot hold as they are.
+        plain: Positions of the fields that it can, and their types.
+        decoders: Positions of all others.
+    """
 
     kind: type
     code: int
     names: tuple[str, ...]
-    encoders: tuple[_Convert | None, ...]
-    decoders: tuple[_Convert, ...]
+    encoders: tuple[tuple[int, _Convert], ...]
+    plain: tuple[tuple[int, type], ...]
+    decoders: tuple[tuple[int, _Convert], ...]
 
 
 _plans_by_code: dict[int, _Plan] = {}
@@ -97,26 +105,21 @@
 
 
 def _pack(plan: _Plan, body: Any) -> list[Any]:
-    packed = [getattr(body, name) for name in plan.names]
-    for index, encoder in enumerate(plan.encoders):
-        if encoder is not None:
-            packed[index] = encoder(packed[index])
+    held = body.__dict__
+    packed = [held[name] for name in plan.names]
+    for index, encoder in plan.encoders:
+        packed[index] = encoder(packed[index])
     return packed
 
 
 def _unpack(plan: _Plan, parts: list[Any]) -> Any:
-    if len(parts) != len(plan.decoders):
+    if len(parts) != len(plan.names):
         raise ProtocolError(
             f'decode {plan.kind.__name__}',
-            f'{len(parts)} fields in place of {len(plan.decoders)}',
+            f'{len(parts)} fields in place of {len(plan.names)}',
         )
     try:
-        return plan.kind(
-            *[
-                decoder(part)
-                for decoder, part in zip(plan.decoders, parts, strict=True)
-            ],
-        )
+        return _built(plan, parts)
     except (TypeError, ValueError) as error:
         raise ProtocolError(
             f'decode {plan.kind.__name__}',
@@ -124,19 +127,49 @@
         ) from error
 
 
+def _built(plan: _Plan, parts: list[Any]) -> Any:
+    for index, kind in plan.plain:
+        # A Boolean is no number here, so the type must be the very same.
+        if parts[index].__class__ is not kind:
+            raise TypeError(
+                f'{type(parts[index]).__name__} in place of {kind.__name__}',
+            )
+    for place, decoder in plan.decoders:
+        parts[place] = decoder(parts[place])
+    body = object.__new__(plan.kind)
+    # A frozen dataclass would set each of its fields by a call.
+    body.__dict__.update(zip(plan.names, parts, strict=True))
+    return body
+
+
 def _make_plan(kind: type, code: int) -> _Plan:
     hints = typing.get_type_hints(kind)
     names = tuple(field.name for field in dataclasses.fields(kind))
+    fields = [(index, hints[name]) for index, name in enumerate(names)]
+    encoders = [(index, _encoder(hint)) for index, hint in fields]
     return _Plan(
         kind=kind,
         code=code,
         names=names,
-        encoders=tuple(_encoder(hints[name]) for name in names),
-        decoders=tuple(_decoder(hints[name]) for name in names),
+        encoders=tuple(
+            (index, encoder)
+            for index, encoder in encoders
+            if encoder is not None
+        ),
+        plain=tuple(
+            (index, hint) for index, hint in fields if hint in _PLAIN_TYPES
+        ),
+        decoders=tuple(
+            (index, _decoder(hint))
+            for index, hint in fields
+            if hint not in _PLAIN_TYPES
+        ),
     )
 
 
 def _encoder(hint: Any) -> _Convert | None:
+    if hint == _TextPairs:
+        return _flat_texts
     if dataclasses.is_dataclass(hint):
         plan = _make_plan(typing.cast('type', hint), 0)
         return lambda body: _pack(plan, body)
@@ -179,13 +212,15 @@
     )
 
 
-def _text_pairs(parts: Any) -> tuple[tuple[str, str], ...]:
-    """Decode headers, the largest part of most messages, in one pass."""
-    pairs = tuple(map(tuple, parts))
-    for pair in pairs:
-        if len(pair) != 2 or set(map(type, pair)) != {str}:
-            raise TypeError('a pair of texts is expected')
-    return pairs
+def _flat_texts(pairs: _TextPairs) -> list[str]:
+    """Pack headers, the largest part of most messages, as one list."""
+    return [text for pair in pairs for text in pair]
+
+
+def _text_pairs(parts: Any) -> _TextPairs:
+    if not set(map(type, _expect(parts, list))) <= {str}:
+        raise TypeError('a list of texts is expected')
+    return tuple(zip(parts[::2], parts[1::2], strict=True))
 
 
 def _expect(part: Any, kind: type) -> Any:
@@ -200,6 +235,6 @@
 
 
 def _expect_number(part: Any) -> float:
-    if _is_integer(part) or isinstance(part, float):
+    if part.__class__ is float or _is_integer(part):
         return float(part)
     raise TypeError(f'{type(part).__name__} in place of a number')
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -125,21 +125,23 @@
             ReplyTimeoutError: No reply came in time.
         """
         sequence = next(self._sequence)
-        reply = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        reply = loop.create_future()
         self._replies[sequence] = reply
+        expiry = loop.call_later(timeout_ms / MS_PER_S, _expire, reply)
         if not self.in_flight:
             self._busy_since_ms = now_ms()
         self.in_flight += 1
         try:
             await self._write(sequence, body)
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                return _checked(await reply)
+            return _checked(await reply)
         except TimeoutError as error:
             raise ReplyTimeoutError(
                 f'request {type(body).__name__} to {self.peer_vm}',
                 f'no reply within {timeout_ms:.0f} ms',
             ) from error
         finally:
+            expiry.cancel()
             self.in_flight -= 1
             self._replies.pop(sequence, None)
 
@@ -221,6 +223,11 @@
                 )
 
 
+def _expire(reply: asyncio.Future[Any]) -> None:
+    if not reply.done():
+        reply.set_exception(TimeoutError())
+
+
 def _checked(reply: Any) -> Any:
     if isinstance(reply, messages.Failure):
         raise ProtocolError('request', reply.reason)
