Assume that peers share a surge; tell refused callers when to come back

Cause 1 (two known reds): nodes that are cut off when demand grows from 60 to 450 a second assume of their unheard peers the averaged demand of before, so their copies of the bucket stay full for about a second. Change: peers are assumed to share a surge of the own demand.

Change: the wait follows from the excess over the rate, and from how long the refused part takes to fall.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -22,6 +22,8 @@
 _DEMAND_MEMORY_MS = 1500.0
 # Changes of a demand below this are chance.
 _NOISE_PER_S = 0.5
+# A single request in a step is no surge.
+_ONE_A_STEP_PER_S = 2.0
 # Assumed demand of a node without any, so that its first requests pass.
 _DEMAND_LEAST_PER_S = 0.2
 # Chance brings a node more than its part.  All nodes together may take this
@@ -35,8 +37,10 @@
 # Part of a burst that is there after a restart; should all nodes restart at
 # once, this much is given twice, inside the tenth that is tolerated.
 _RESTART_PART = 0.1
-_RETRY_LEAST_MS = 100.0
-_RETRY_MOST_MS = 2000.0
+# Room is shared out anew with each step, so no sooner.
+_RETRY_LEAST_MS = _STEP_MS
+# The longest deadline of the deployments; later nobody is there any more.
+_RETRY_MOST_MS = 6000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,6 +112,7 @@
         self.own = _OwnUse()
         self.peers: dict[str, _PeerUse] = {}
         self._others_per_s = 0.0
+        self._demand_per_s = 0.0
         self._tended_ms = loop_ms()
         self._step_ms = 0.0
 
@@ -172,27 +177,44 @@
         """Share out what is left, by demand."""
         own = self.own
         passed_ms = max(_STEP_MS, time_ms - self._step_ms)
-        gap = own.step_asked / passed_ms * _MS_PER_S - own.asked_per_s
-        own.asked_per_s += gap * _weight(passed_ms)
+        asked_per_s = own.step_asked / passed_ms * _MS_PER_S
+        own.asked_per_s += (asked_per_s - own.asked_per_s) * _weight(passed_ms)
+        surge = (asked_per_s + _ONE_A_STEP_PER_S) / (
+            own.asked_per_s + _ONE_A_STEP_PER_S
+        )
         own.step_asked = 0
         # A part of a request that was not used is there in the next step.
         rest = min(1.0, max(0.0, own.step_room - own.step_admitted))
         own.step_admitted = 0
         demand = max(_DEMAND_LEAST_PER_S, own.asked_per_s)
-        room = max(self._assume(demand, time_ms), self._spare(time_ms))
+        part = self._assume(demand, max(1.0, surge), time_ms)
+        room = max(part, self._spare(time_ms))
         own.step_room = room + rest
         self._step_ms = time_ms
 
-    def _assume(self, own_demand: float, time_ms: float) -> float:
-        """Assume what peers will admit, and return the own part."""
+    def _assume(
+        self,
+        own_demand: float,
+        surge: float,
+        time_ms: float,
+    ) -> float:
+        """Assume what peers will admit, and return the own part.
+
+        Args:
+            own_demand: Averaged, requests a second.
+            surge: How far the own demand is above its average just now; that
+                of peers, whose reports lag, may be as well.
+            time_ms: The present time.
+        """
         demands = {
             vm: peer.demand_per_s(own_demand) for vm, peer in self.peers.items()
         }
         total = own_demand + sum(demands.values())
+        self._demand_per_s = total
         gain = self.rate.rate_per_s * _STEP_MS / _MS_PER_S
         free = max(0.0, self.level) + gain
         # A peer admits what it is asked for, and no more than its part.
-        scale = min(1.0, free / _STEP_MS * _MS_PER_S / total)
+        scale = min(surge, free / _STEP_MS * _MS_PER_S / total)
         self._others_per_s = 0
         for vm, peer in self.peers.items():
             peer.settle(time_ms)
@@ -210,7 +232,13 @@
         return spare / nodes * (heard + 1) / nodes
 
     def _wait_ms(self) -> float:
-        missing = max(1.0, 1 - self.level)
+        """Return when a request that comes back may hope to be let in.
+
+        What one second of the present demand leaves over keeps the rate busy
+        for as long as it takes to admit it.
+        """
+        left_over = max(0.0, self._demand_per_s - self.rate.rate_per_s)
+        missing = max(1.0, 1 - self.level) + left_over
         wait_ms = missing / self.rate.rate_per_s * _MS_PER_S
         return min(max(wait_ms, _RETRY_LEAST_MS), _RETRY_MOST_MS)
 
--- a/packages/policy/src/chivelead_policy/_internal/queues.py
+++ b/packages/policy/src/chivelead_policy/_internal/queues.py
@@ -208,12 +208,12 @@
             return 0
         return sum(fair_class.size for fair_class in self._classes[importance:])
 
-    def _evict(self, fair_class: _FairClass) -> Waiter:
-        self._size -= 1
-        return fair_class.evict(self._served)
-
     def charge(self, organisation: str) -> None:
         """Count service, so that old service fades."""
         for name in self._served:
             self._served[name] *= _FORGET_PER_TURN
         self._served[organisation] = self._served.get(organisation, 0) + 1
+
+    def _evict(self, fair_class: _FairClass) -> Waiter:
+        self._size -= 1
+        return fair_class.evict(self._served)
--- a/packages/protocol/src/chivelead_protocol/_internal/codec.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/codec.py
@@ -136,7 +136,7 @@
             )
     for place, decoder in plan.decoders:
         parts[place] = decoder(parts[place])
-    body = object.__new__(plan.kind)
+    body: Any = object.__new__(plan.kind)
     # A frozen dataclass would set each of its fields by a call.
     body.__dict__.update(zip(plan.names, parts, strict=True))
     return body
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -142,8 +142,7 @@
             ) from error
         finally:
             expiry.cancel()
-            self.in_flight -= 1
-            self._replies.pop(sequence, None)
+            self._forget(sequence)
 
     async def send(self, body: Any) -> None:
         """Send a message that has no reply.
@@ -177,6 +176,10 @@
         channel.on_frame = self._take_in
         channel.on_close = self._note_end
 
+    def _forget(self, sequence: int) -> None:
+        self.in_flight -= 1
+        self._replies.pop(sequence, None)
+
     def _note_end(self) -> None:
         if self._channel is not None:
             self._drop('closed by the peer')
