Write answers to callers in one piece

A bare HTTP server of aiohttp takes 147 us a request, a third of it in its response class, which prepares cookies, compression and ranges for each answer anew. Ruled out: a server of our own; the library's request side is kept. Change: WholeAnswer writes head and body at once and adds only the length. Test: test_answer_reaches_the_caller_as_the_target_gave_it (repeated headers, HEAD).

--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -122,7 +122,7 @@
             if len(route.parts) > 1
         }
 
-    async def answer(self, request: web.BaseRequest) -> web.Response:
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         arrived_ms = loop_ms()
         request_id = request.headers.get(self._names.request_id, '')
@@ -143,7 +143,7 @@
         request: web.BaseRequest,
         request_id: str,
         arrived_ms: float,
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         try:
             call = await self._accept(request, request_id, arrived_ms)
         except calls.RefusedCallError as error:
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/whole_answer.py
@@ -0,0 +1,67 @@
+"""An answer that is written in one piece."""
+
+import http
+from typing import Any
+
+from aiohttp import ClientConnectionResetError, HttpVersion11, web
+from aiohttp.abc import AbstractStreamWriter
+from chivelead_protocol import Headers
+
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+
+
+class WholeAnswer(web.StreamResponse):
+    """Status, headers and body as they are, and nothing added but the length.
+
+    The response class of the library prepares for much that a whole body of
+    known length does not need, for each answer anew.
+
+    Args:
+        status: HTTP status.
+        heads: Headers without a length.
+        whole: The body.
+    """
+
+    def __init__(self, status: int, heads: Headers, whole: bytes) -> None:
+        """Keep what is to be written."""
+        super().__init__(status=status)
+        self._heads = heads
+        self._whole = whole
+
+    async def prepare(
+        self,
+        request: web.BaseRequest,
+    ) -> AbstractStreamWriter | None:
+        """Take in whether the connection is kept."""
+        self._req = request
+        if self._keep_alive is None:
+            is_known = request.version >= HttpVersion11
+            self._keep_alive = request.keep_alive and is_known
+        return None
+
+    async def write_eof(self, data: Any = b'') -> None:  # noqa: WPS110
+        """Write everything.
+
+        Raises:
+            ClientConnectionResetError: The caller has gone.
+        """
+        request = self._req
+        if request is None or request.transport is None:
+            raise ClientConnectionResetError('the caller has gone')
+        request.transport.write(self._head(request.method) + self._whole)
+        self._eof_sent = True
+        await request.protocol._drain_helper()  # noqa: SLF001
+
+    def _head(self, method: str) -> bytes:
+        status = self.status
+        reason = _REASONS.get(status, 'Unknown')
+        lines = [f'HTTP/1.1 {status} {reason}']
+        lines.extend(f'{name}: {text}' for name, text in self._heads)
+        if method != 'HEAD' and status not in {_NO_CONTENT, _NOT_MODIFIED}:
+            lines.append(f'Content-Length: {len(self._whole)}')
+        if not self._keep_alive:
+            lines.append('Connection: close')
+        head = '\r\n'.join(lines)
+        return f'{head}\r\n\r\n'.encode('utf-8', 'surrogateescape')
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -478,3 +478,24 @@
         assert not fleet.targets[0].seen
         entry._held_bytes = 0
         assert (await fleet.ask(0, '/book/', 'POST', data=b'x'))[0] == 200
+
+
+async def test_answer_reaches_the_caller_as_the_target_gave_it():
+    async with running('stock') as fleet:
+        target = fleet.targets[0]
+
+        async def answer(request):
+            response = target.success(request)
+            response.headers['X-Repeated'] = 'one'
+            response.headers.add('X-Repeated', 'two')
+            return response
+
+        target.behave = answer
+        for _ in range(2):
+            status, heads, body = await fleet.ask(0, '/read/x')
+            assert (status, body) == (200, b'stock /read/x')
+            assert heads.getall('X-Repeated') == ['one', 'two']
+            assert heads['X-Server-Stamp'] == 'stamp'
+            assert heads['Content-Length'] == str(len(body))
+        status, heads, body = await fleet.ask(0, '/read/x', 'HEAD')
+        assert (status, body) == (200, b'')
