--- a/packages/node/src/chivelead_node/_internal/proxy/whole_answer.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/whole_answer.py
@@ -1,6 +1,7 @@
 """An answer that is written in one piece."""
 
 import http
+import types
 from typing import Any
 
 from aiohttp import ClientConnectionResetError, HttpVersion11, web
@@ -9,7 +10,9 @@
 
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
-_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+_REASONS = types.MappingProxyType(
+    {status.value: status.phrase for status in http.HTTPStatus},
+)
 
 
 class WholeAnswer(web.StreamResponse):
@@ -39,7 +42,7 @@
         if self._keep_alive is None:
             is_known = request.version >= HttpVersion11
             self._keep_alive = request.keep_alive and is_known
-        return None
+        return self._payload_writer
 
     async def write_eof(self, data: Any = b'') -> None:  # noqa: WPS110
         """Write everything.
