Watch entries at most once a second

Each change of an entry ends the watch of every node, so N changes cost N times N calls. Ruled out: renewals of leases (a tenth of a call each). Change: a pause of a second after a watch that brought changes; drained targets, new nodes and new plans are told by pulses anyway. Test: test_many_changes_of_entries_cost_few_calls_of_the_store, 40 watches for 40 changes in 2 s before, at most 3 after.

--- a/packages/node/src/chivelead_node/_internal/proxy/directory.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/directory.py
@@ -31,6 +31,9 @@
 LEASE_MS = 4000
 _KEEP_PERIOD_S = 1.2
 _WATCH_MS = 5000
+# Each change of an entry would else cost a call of every node; what cannot
+# wait is told by pulses.
+_WATCH_PAUSE_S = 1.0
 # An entry that is missing for longer after an outage belongs to a dead node.
 _MISSING_GRACE_S = 2.0
 # A node heard within this time lives, whatever the store says.
@@ -180,6 +183,8 @@
             revision = max(revision, changes.revision)
             for change in changes.changes:
                 self._apply(change)
+            if changes.changes:
+                await asyncio.sleep(_WATCH_PAUSE_S)
 
     def _apply(self, change: Change) -> None:
         if change.entry is None:
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -499,3 +499,13 @@
             assert heads['Content-Length'] == str(len(body))
         status, heads, body = await fleet.ask(0, '/read/x', 'HEAD')
         assert (status, body) == (200, b'')
+
+
+async def test_many_changes_of_entries_cost_few_calls_of_the_store():
+    async with running('stock') as fleet:
+        before = fleet.store.watches['chivelead/nodes/']
+        for number in range(40):
+            fleet.store.put(f'chivelead/nodes/other-{number}', '{}')
+            await asyncio.sleep(0.05)
+        # Two seconds, and one call a second.
+        assert fleet.store.watches['chivelead/nodes/'] - before <= 3
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import itertools
 import json
@@ -56,6 +57,7 @@
         self.garbage = False
         self.lose_writes = 0
         self.calls = 0
+        self.watches = collections.Counter()
         self.entries = {}
         self.events = []
         self.forgotten = 0
@@ -157,6 +159,7 @@
 
     async def _watch(self, request):
         prefix, after = request.query['prefix'], int(request.query['after'])
+        self.watches[prefix] += 1
         end = asyncio.get_running_loop().time() + (
             int(request.query['wait_ms']) / 1000
         )
