--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -37,10 +37,8 @@
 # Part of a burst that is there after a restart; should all nodes restart at
 # once, this much is given twice, inside the tenth that is tolerated.
 _RESTART_PART = 0.1
-# Room is shared out anew with each step, so no sooner.
-_RETRY_LEAST_MS = _STEP_MS
-# The longest deadline of the deployments; later nobody is there any more.
-_RETRY_MOST_MS = 6000.0
+_RETRY_LEAST_MS = 100.0
+_RETRY_MOST_MS = 2000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,7 +110,6 @@
         self.own = _OwnUse()
         self.peers: dict[str, _PeerUse] = {}
         self._others_per_s = 0.0
-        self._demand_per_s = 0.0
         self._tended_ms = loop_ms()
         self._step_ms = 0.0
 
@@ -210,7 +207,6 @@
             vm: peer.demand_per_s(own_demand) for vm, peer in self.peers.items()
         }
         total = own_demand + sum(demands.values())
-        self._demand_per_s = total
         gain = self.rate.rate_per_s * _STEP_MS / _MS_PER_S
         free = max(0.0, self.level) + gain
         # A peer admits what it is asked for, and no more than its part.
@@ -232,13 +228,7 @@
         return spare / nodes * (heard + 1) / nodes
 
     def _wait_ms(self) -> float:
-        """Return when a request that comes back may hope to be let in.
-
-        What one second of the present demand leaves over keeps the rate busy
-        for as long as it takes to admit it.
-        """
-        left_over = max(0.0, self._demand_per_s - self.rate.rate_per_s)
-        missing = max(1.0, 1 - self.level) + left_over
+        missing = max(1.0, 1 - self.level)
         wait_ms = missing / self.rate.rate_per_s * _MS_PER_S
         return min(max(wait_ms, _RETRY_LEAST_MS), _RETRY_MOST_MS)
 
--- a/packages/node/src/chivelead_node/_internal/proxy/entry.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/entry.py
@@ -38,8 +38,8 @@
 _QUEUE_PART = 0.125
 # A call of a target waits longer: with it the work of its parents is lost.
 _INNER_QUEUE_PART = 0.5
-# A part of the demand that is kept away falls off in steps of this length.
-_SHED_RETRY_LEAST_MS = 500.0
+# Refused callers come back when overload has had time to pass.
+_SHED_RETRY_MS = 700.0
 # A node without a plan, or about to close, is back or left by then.
 _UNAVAILABLE_RETRY_MS = 200.0
 _SEED_BITS = 32
@@ -291,12 +291,11 @@
     def _shed(self, route: PlanRoute, service: str, importance: int) -> None:
         overloaded = self._overload.sheds(route, service, importance)
         if overloaded:
-            relief_ms = self._overload.relief_ms(overloaded)
             raise calls.refused(
                 _UNAVAILABLE,
                 'shed',
                 f'{overloaded} is overloaded',
-                retry_after_ms=spread(max(_SHED_RETRY_LEAST_MS, relief_ms)),
+                retry_after_ms=spread(_SHED_RETRY_MS),
             )
 
     def _choose_service(self, route: PlanRoute) -> str:
--- a/packages/node/src/chivelead_node/_internal/proxy/overload.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/overload.py
@@ -83,10 +83,6 @@
                 reach[below] += calls
         return self._shedder.sheds(importance, reach, self._shed_parts())
 
-    def relief_ms(self, service: str) -> float:
-        """Return how long a service stays overloaded, at the least."""
-        return GateControl.relief_ms(self._shed_parts().get(service, 0))
-
     def _shed_parts(self) -> Mapping[str, float]:
         if loop_ms() - self._table_ms > _TABLE_AGE_MS:
             self._table = self._add_up()
--- a/packages/policy/src/chivelead_policy/_internal/overload.py
+++ b/packages/policy/src/chivelead_policy/_internal/overload.py
@@ -38,11 +38,6 @@
         self._refused = 0
         self._step_ms = 0.0
 
-    @classmethod
-    def relief_ms(cls, part: float) -> float:
-        """Return how long a part takes to fall to nothing, at the least."""
-        return part / _RELIEF * _PERIOD_MS
-
     def note(self, *, refused: bool) -> None:
         """Note a request that was let in or refused for overload."""
         if refused:
