--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -201,7 +201,6 @@
         )
         self._parts.overload.apply(plan)
         self._parts.entry.apply(plan)
-        self._parts.pulses.tell_soon()
 
     def _note_own_change(self, member: Member) -> None:
         if member.vm == self._settings.vm:
--- a/packages/node/src/chivelead_node/_internal/proxy/pulses.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/pulses.py
@@ -84,20 +84,24 @@
         self._learn(vm, pulse)
         return self._own_pulse()
 
-    async def tell_all(self) -> None:
-        """Send a pulse to every peer now, since something has changed."""
-        own_vm = self._membership.own.vm
+    async def tell_near(self) -> None:
+        """Send a pulse to the peers of the own region now.
+
+        They send most of the calls that come here.  Farther peers, where each
+        byte is billed, hear of a change by the next pulse that is due.
+        """
+        own = self._membership.own
         await asyncio.gather(
             *(
                 self._exchange(member.vm)
                 for member in self._membership.alive()
-                if member.vm != own_vm
+                if member.vm != own.vm and member.region == own.region
             ),
         )
 
     def tell_soon(self) -> None:
-        """Send a pulse to every peer without waiting for it."""
-        task = asyncio.create_task(self.tell_all())
+        """Send a pulse to the peers nearby without waiting for it."""
+        task = asyncio.create_task(self.tell_near())
         self._urgent.add(task)
         task.add_done_callback(self._urgent.discard)
 
