--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -26,43 +26,53 @@
 )
 from chivelead_protocol._internal.messages import (
     Acknowledged as Acknowledged,
-    BorrowUnits as BorrowUnits,
     CallCancel as CallCancel,
     CallReply as CallReply,
     CallRequest as CallRequest,
-    DocumentText as DocumentText,
-    DocumentsOffer as DocumentsOffer,
-    DocumentsPull as DocumentsPull,
-    DocumentsUpdate as DocumentsUpdate,
-    DrainRequest as DrainRequest,
     Failure as Failure,
-    Gossip as Gossip,
-    GuardBegin as GuardBegin,
-    GuardEntry as GuardEntry,
-    GuardFinish as GuardFinish,
-    GuardHandover as GuardHandover,
-    GuardVerdict as GuardVerdict,
     Headers as Headers,
     Hello as Hello,
-    Loan as Loan,
+    Outcome as Outcome,
+    Ping as Ping,
+    Pong as Pong,
+    TargetState as TargetState,
+)
+from chivelead_protocol._internal.membership_messages import (
+    Gossip as Gossip,
     Member as Member,
     MemberSummary as MemberSummary,
     MemberTable as MemberTable,
+)
+from chivelead_protocol._internal.document_messages import (
+    DocumentText as DocumentText,
+    DocumentsOffer as DocumentsOffer,
+    DocumentsPull as DocumentsPull,
+    DocumentsUpdate as DocumentsUpdate,
+)
+from chivelead_protocol._internal.rate_messages import (
+    BorrowUnits as BorrowUnits,
+    Loan as Loan,
     Need as Need,
-    Outcome as Outcome,
-    Ping as Ping,
-    Pong as Pong,
     ReturnUnits as ReturnUnits,
     SharesReleased as SharesReleased,
+    TakeTokens as TakeTokens,
+    TokenGrant as TokenGrant,
+    UnitsLent as UnitsLent,
+)
+from chivelead_protocol._internal.guard_messages import (
+    GuardBegin as GuardBegin,
+    GuardEntry as GuardEntry,
+    GuardFinish as GuardFinish,
+    GuardHandover as GuardHandover,
+    GuardVerdict as GuardVerdict,
+)
+from chivelead_protocol._internal.operator_messages import (
+    DrainRequest as DrainRequest,
     StatusQuery as StatusQuery,
     StatusReport as StatusReport,
-    TakeTokens as TakeTokens,
-    TargetState as TargetState,
     TimelineEvent as TimelineEvent,
     TimelineEvents as TimelineEvents,
     TimelineQuery as TimelineQuery,
-    TokenGrant as TokenGrant,
-    UnitsLent as UnitsLent,
 )
 from chivelead_protocol._internal.pulse_messages import (
     PlanPull as PlanPull,
--- a/packages/protocol/src/chivelead_protocol/_internal/pulse_messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/pulse_messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from chivelead_protocol._internal.codec import message
-from chivelead_protocol._internal.messages import Member
+from chivelead_protocol._internal.membership_messages import Member
 
 
 @dataclasses.dataclass(frozen=True)
