--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -1,6 +1,7 @@
 """Nodes on the stand-in platform, all in one process."""
 
 import asyncio
+import contextlib
 import secrets
 import types
 
@@ -161,3 +162,14 @@
     async with asyncio.timeout(timeout_s):
         while not holds():
             await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def running(*services, **options):
+    """Run a fleet for the length of a test."""
+    fleet = PlatformFleet(*services)
+    await fleet.start(**options)
+    try:
+        yield fleet
+    finally:
+        await fleet.close()
