Let a relay in each failure domain carry the state of the fleet

Cause: every node exchanged heartbeats with every other, each with the counts of all organisations, and applied them bucket by bucket and peer by peer; every node also held a lease and watched all entries and the plan.

Ruled out: gossip with random peers (counts would reach others later than the 5 s over which quotas are judged), one relay for the whole fleet (dies, and regions are cut), relays elected in the store (a call more for each change).

Change: each node reports to one node of its failure domain, its relay, ranked by rendezvous hashing over the members, so that no agreement is needed; a relay exchanges digests with the relays of the other domains. Members travel as numbered changes, counters as increments in a tally that never falls, overload and fan-outs as sums. Two contacts a domain stand in the store, without leases; only relays watch the plan. Quotas take all other nodes as one; nodes that are not heard keep a part by number, for 30 s also after they count as dead. A node is taken for dead after two failed contacts by a relay that hears others itself.

The check of killed nodes and all other bounds of test_fleet_quota are the same; the simulated fleet now passes reports through relays. The test of batched watch calls went with the watch; calls of the store are bounded in test_starting_nodes_call_the_store_seldom instead. test_heartbeats went with the exchange it was for.

--- a/packages/coordination/src/chivelead_coordination/__init__.py
+++ b/packages/coordination/src/chivelead_coordination/__init__.py
@@ -7,10 +7,15 @@
 from chivelead_coordination._internal.document_distribution import (
     DocumentDistributor as DocumentDistributor,
 )
+from chivelead_coordination._internal.count_tally import (
+    CountTally as CountTally,
+)
+from chivelead_coordination._internal.fleet_aggregate import (
+    FleetAggregate as FleetAggregate,
+)
 from chivelead_coordination._internal.fleet_quota import (
     FleetQuota as FleetQuota,
 )
-from chivelead_coordination._internal.fleet_quota import FleetRate as FleetRate
 from chivelead_coordination._internal.gossip import GossipTask as GossipTask
 from chivelead_coordination._internal.gossip import (
     nearest_first as nearest_first,
@@ -63,10 +68,16 @@
 from chivelead_coordination._internal.ownership import (
     ShareOwnership as ShareOwnership,
 )
+from chivelead_coordination._internal.quota_bucket import (
+    FleetRate as FleetRate,
+)
 from chivelead_coordination._internal.rates import TOTAL_UNITS as TOTAL_UNITS
 from chivelead_coordination._internal.rates import (
     RateCoordinator as RateCoordinator,
 )
+from chivelead_coordination._internal.relay_ranking import (
+    RelayRanking as RelayRanking,
+)
 from chivelead_coordination._internal.relays import (
     RelayElection as RelayElection,
 )
--- a/packages/coordination/src/chivelead_coordination/_internal/membership.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/membership.py
@@ -87,6 +87,13 @@
         """Return the number of live members, including this node."""
         return len(self.alive_members())
 
+    def count_alive_within(self, period_ms: float) -> int:
+        """Return the number of members that were alive within a period."""
+        cutoff_ms = now_ms() - period_ms
+        return self.count_alive() + sum(
+            since_ms >= cutoff_ms for since_ms in self._dead_since_ms.values()
+        )
+
     def service_members(self, service: str) -> tuple[Member, ...]:
         """Return the live members whose targets belong to a service."""
         members = self._member_cache.get(('service', service))
--- /dev/null
+++ b/packages/coordination/src/chivelead_coordination/_internal/quota_bucket.py
@@ -0,0 +1,344 @@
+"""Local copy of a fleet-wide token bucket, and the allocation of its tokens."""
+
+import collections
+import dataclasses
+import math
+
+from chivelead_protocol import RequestCounts, loop_ms
+
+_MS_PER_S = 1000
+# Time between two allocations; about the interval of digests.
+_INTERVAL_MS = 500.0
+# Age of the counts in a digest: they pass from a node through two relays.
+_DIGEST_LAG_INTERVALS = 3
+# Time constant of the average of a demand.  Local demand is averaged like that
+# of the others: a node that saw its own surge before theirs would take too
+# much.
+_DEMAND_TIME_CONSTANT_MS = 1500.0
+# Smaller changes of a demand are treated as random variation.
+_DEMAND_NOISE_PER_S = 0.5
+# One request per interval, which is not a surge.
+_ONE_PER_INTERVAL_PER_S = 2.0
+# Demand assumed for an idle node, so that its first requests are admitted.
+_MIN_DEMAND_PER_S = 0.2
+# Random arrivals can exceed a node's allocation, so in one interval all nodes
+# together may admit this multiple of the tokens in the bucket, plus this number
+# of requests.  The level is lower in the next interval, so the bound over 5 s
+# (a tenth more than rate and burst, plus 20 requests) still holds when demand
+# is five times the rate.
+_HEADROOM_BURSTS = 1.6
+_HEADROOM_REQUESTS = 20.0
+# Without a digest for this long, this node may be cut off from the others.
+# Longer than the longest interval between digests.
+_DIGEST_TIMEOUT_MS = 2000.0
+# Below this fraction of its rate, an organisation is far from its limit.
+_CALM_DEMAND_FRACTION = 0.9
+_MIN_RETRY_MS = 100.0
+_MAX_RETRY_MS = 2000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetRate:
+    """Rate and burst of an organisation, for the whole fleet together."""
+
+    rate_per_s: float
+    burst_requests: float
+
+
+@dataclasses.dataclass
+class _FleetUsage:
+    """Reported and estimated use of one bucket by all other nodes together.
+
+    Attributes:
+        reported_ms: Time of the last digest.
+        requested: Requests that they have received, by the last digest.
+        admitted: Requests that they have admitted, by the last digest.
+        has_reported: Whether there has been a digest.
+        requested_per_s: Average demand at the other nodes.
+        estimated_admitted: Estimate of the requests that they have admitted
+            since the last digest.
+        estimated_admitted_per_s: Rate at which that estimate grows.
+        estimated_until_ms: Time up to which it has been computed.
+    """
+
+    estimated_until_ms: float
+    reported_ms: float = -math.inf
+    requested: int = 0
+    admitted: int = 0
+    has_reported: bool = False
+    requested_per_s: float = 0
+    estimated_admitted: float = 0
+    estimated_admitted_per_s: float = 0
+
+    def extrapolate(self, time_ms: float) -> None:
+        """Advance the estimate of admitted requests to the given time."""
+        elapsed_s = (time_ms - self.estimated_until_ms) / _MS_PER_S
+        self.estimated_admitted += self.estimated_admitted_per_s * elapsed_s
+        self.estimated_until_ms = time_ms
+
+    def demand_per_s(
+        self, local_per_s: float, earlier_local_per_s: float, node_count: int
+    ) -> float:
+        """Return the demand at the other nodes.
+
+        If local demand has grown since their requests were counted, theirs may
+        have grown by the same factor.
+
+        Args:
+            local_per_s: Present demand at this node.
+            earlier_local_per_s: Demand at this node when they were counted.
+            node_count: Number of the other nodes.
+        """
+        demand = max(_MIN_DEMAND_PER_S * node_count, self.requested_per_s)
+        if not self.has_reported:
+            return max(demand, local_per_s * node_count)
+        earlier_per_s = max(_MIN_DEMAND_PER_S, earlier_local_per_s)
+        growth = (local_per_s + _DEMAND_NOISE_PER_S) / (
+            earlier_per_s + _DEMAND_NOISE_PER_S
+        )
+        return demand * max(1.0, growth)
+
+
+@dataclasses.dataclass
+class FleetSize:
+    """Nodes that share the buckets.
+
+    Attributes:
+        node_count: All nodes, including this one.
+        heard_count: Those of which the relays have heard in time.
+    """
+
+    node_count: int = 1
+    heard_count: int = 1
+
+    @property
+    def heard_fraction(self) -> float:
+        """Return the fraction of the nodes that are heard from."""
+        return min(1.0, self.heard_count / self.node_count)
+
+
+@dataclasses.dataclass
+class _LocalUsage:
+    """Use of one bucket by this node, in total and in this interval.
+
+    Attributes:
+        interval_allowance: Requests that may be admitted in this interval.
+    """
+
+    requested: int = 0
+    admitted: int = 0
+    requested_per_s: float = 0
+    interval_requested: int = 0
+    interval_admitted: int = 0
+    interval_allowance: float = 1
+
+
+class QuotaBucket:
+    """Local copy of the token bucket of one organisation."""
+
+    def __init__(
+        self, rate: FleetRate, burst_fraction: float, fleet: FleetSize
+    ) -> None:
+        self.rate = rate
+        self.level = rate.burst_requests * burst_fraction
+        self.local = _LocalUsage()
+        self._fleet = fleet
+        self._others = _FleetUsage(loop_ms())
+        # Rate at which all other nodes are assumed to use the bucket.
+        self._others_admitted_per_s = 0.0
+        # Local demand at the start of the last intervals, the newest last.
+        self._local_history_per_s: collections.deque[float] = collections.deque(
+            maxlen=_DIGEST_LAG_INTERVALS
+        )
+        self._refilled_ms = loop_ms()
+        self._interval_start_ms = 0.0
+
+    def take(self) -> float:
+        """Admit one request and return 0, or return how long to wait in ms."""
+        self._refill(loop_ms())
+        local = self.local
+        local.requested += 1
+        local.interval_requested += 1
+        if (
+            self.level >= 1
+            and local.interval_admitted + 1 <= local.interval_allowance
+        ):
+            local.admitted += 1
+            local.interval_admitted += 1
+            self.level -= 1
+            return 0
+        return self._retry_after_ms()
+
+    def rebase(self, counts: RequestCounts) -> None:
+        """Start from the counts of another relay, without charging anything.
+
+        What the others have admitted since the last digest stays as estimated.
+        """
+        self._refill(loop_ms())
+        others = self._others
+        others.extrapolate(loop_ms())
+        others.estimated_admitted = 0
+        others.has_reported = True
+        others.reported_ms = loop_ms()
+        others.requested = counts.requested
+        others.admitted = counts.admitted
+
+    def apply_counts(self, counts: RequestCounts | None) -> None:
+        """Replace the estimate for the others by what they report.
+
+        Args:
+            counts: Their counts; None if these have not changed.
+        """
+        time_ms = loop_ms()
+        self._refill(time_ms)
+        others = self._others
+        elapsed_ms = time_ms - others.reported_ms
+        if elapsed_ms < 1:
+            return
+        others.extrapolate(time_ms)
+        requested = 0
+        admitted = 0
+        if counts is not None:
+            requested = max(0, counts.requested - others.requested)
+            admitted = max(0, counts.admitted - others.admitted)
+            others.requested = counts.requested
+            others.admitted = counts.admitted
+        self.level = min(
+            self.level + others.estimated_admitted - admitted,
+            self.rate.burst_requests,
+        )
+        change_per_s = requested / elapsed_ms * _MS_PER_S - (
+            others.requested_per_s
+        )
+        others.requested_per_s += change_per_s * _smoothing_weight(elapsed_ms)
+        others.estimated_admitted = 0
+        others.reported_ms = time_ms
+
+    def describe(self) -> str:
+        """Return the limit, what is left of it, and the known demand."""
+        return (
+            f'{self.rate.rate_per_s:g}/s and {self.rate.burst_requests:g}'
+            f' at once; {self.level:.1f} left,'
+            f' {self.local.interval_allowance:.1f} here;'
+            f' demand {self.local.requested_per_s:.2f}/s here,'
+            f' {self._others.requested_per_s:.2f}/s elsewhere'
+        )
+
+    def _refill(self, time_ms: float) -> None:
+        """Update the level, and start a new interval when one is due."""
+        elapsed_s = (time_ms - self._refilled_ms) / _MS_PER_S
+        self._refilled_ms = time_ms
+        accrued = (
+            self.rate.rate_per_s - self._others_admitted_per_s
+        ) * elapsed_s
+        self.level = min(self.level + accrued, self.rate.burst_requests)
+        if time_ms - self._interval_start_ms >= _INTERVAL_MS:
+            self._start_interval(time_ms)
+
+    def _start_interval(self, time_ms: float) -> None:
+        """Divide the available tokens by demand for the next interval."""
+        local = self.local
+        elapsed_ms = max(_INTERVAL_MS, time_ms - self._interval_start_ms)
+        requested_per_s = local.interval_requested / elapsed_ms * _MS_PER_S
+        local.requested_per_s += (
+            requested_per_s - local.requested_per_s
+        ) * _smoothing_weight(elapsed_ms)
+        surge_factor = (requested_per_s + _ONE_PER_INTERVAL_PER_S) / (
+            local.requested_per_s + _ONE_PER_INTERVAL_PER_S
+        )
+        local.interval_requested = 0
+        # An unused fraction of a request carries over to the next interval.
+        unused = min(
+            1.0, max(0.0, local.interval_allowance - local.interval_admitted)
+        )
+        local.interval_admitted = 0
+        demand = max(_MIN_DEMAND_PER_S, local.requested_per_s)
+        allocation = self._allocate(demand, max(1.0, surge_factor), time_ms)
+        allowance = max(allocation, self._headroom(time_ms)) + unused
+        if self._is_calm(time_ms):
+            allowance = max(1.0, allowance)
+        local.interval_allowance = allowance
+        self._interval_start_ms = time_ms
+
+    def _allocate(
+        self,
+        local_demand: float,
+        surge_factor: float,
+        time_ms: float,
+    ) -> float:
+        """Estimate what peers will admit, and return the local allocation.
+
+        Args:
+            local_demand: Average local demand in requests per second.
+            surge_factor: Ratio, at least 1, of current to average local demand.
+                Demand at the other nodes, whose reports are delayed, may have
+                risen by the same factor.
+            time_ms: Current time.
+
+        Returns:
+            Requests that this node may admit in the interval.
+        """
+        others = self._others
+        history = self._local_history_per_s
+        others_demand = others.demand_per_s(
+            local_demand,
+            history[0] if history else 0,
+            self._fleet.node_count - 1,
+        )
+        history.append(local_demand)
+        total_demand = local_demand + others_demand
+        accrued = self.rate.rate_per_s * _INTERVAL_MS / _MS_PER_S
+        available = max(0.0, self.level) + accrued
+        # Nodes that are not heard may be using their part.
+        shared = available * self._fleet.heard_fraction
+        # The others admit their demand, but not more than their allocation.
+        demand_scale = min(
+            surge_factor, shared / _INTERVAL_MS * _MS_PER_S / total_demand
+        )
+        others.extrapolate(time_ms)
+        others.estimated_admitted_per_s = others_demand * demand_scale
+        unheard_per_s = (available - shared) / _INTERVAL_MS * _MS_PER_S
+        self._others_admitted_per_s = (
+            others.estimated_admitted_per_s + unheard_per_s
+        )
+        return local_demand / total_demand * shared
+
+    def _headroom(self, time_ms: float) -> float:
+        """Return the minimum allowance of an interval.
+
+        Several requests that arrive together by chance are then admitted even
+        if the allocation is small.
+        """
+        node_count = self._fleet.node_count
+        heard_fraction = 1 / node_count
+        if self._is_in_touch(time_ms):
+            heard_fraction = self._fleet.heard_fraction
+        headroom = max(0.0, self.level) * _HEADROOM_BURSTS + _HEADROOM_REQUESTS
+        # Nodes that are not heard may be using their headroom as well.
+        return headroom / node_count * heard_fraction
+
+    def _is_in_touch(self, time_ms: float) -> bool:
+        return self._others.reported_ms > time_ms - _DIGEST_TIMEOUT_MS
+
+    def _is_calm(self, time_ms: float) -> bool:
+        """Return whether the fleet as a whole is far from the limit.
+
+        One request in an interval is then no reason to refuse it, however
+        small the part of this node is in a large fleet.
+        """
+        demand = self._others.requested_per_s + self.local.requested_per_s
+        return (
+            self._is_in_touch(time_ms)
+            and self.level >= self.rate.burst_requests / 2
+            and demand < self.rate.rate_per_s * _CALM_DEMAND_FRACTION
+        )
+
+    def _retry_after_ms(self) -> float:
+        missing_tokens = max(1.0, 1 - self.level)
+        wait_ms = missing_tokens / self.rate.rate_per_s * _MS_PER_S
+        return min(max(wait_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
+
+
+def _smoothing_weight(elapsed_ms: float) -> float:
+    """Return the weight of a new sample in the average of a demand."""
+    return 1 - math.exp(-elapsed_ms / _DEMAND_TIME_CONSTANT_MS)
--- a/packages/coordination/src/chivelead_coordination/_internal/store.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/store.py
@@ -136,8 +136,16 @@
     """A store that also lists and watches all keys with a prefix."""
 
     @abc.abstractmethod
-    async def list_prefix(self, prefix: str) -> Listing:
-        """Return all entries with a prefix, and a revision to watch from."""
+    async def list_prefix(
+        self, prefix: str, *, may_be_stale: bool = False
+    ) -> Listing:
+        """Return all entries with a prefix, and a revision to watch from.
+
+        Args:
+            prefix: Prefix of the keys.
+            may_be_stale: Allow entries that are some seconds old, which is
+                cheaper.
+        """
 
     @abc.abstractmethod
     async def watch_prefix(
--- a/packages/node/src/chivelead_node/_internal/links.py
+++ b/packages/node/src/chivelead_node/_internal/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import Any
 
 from chivelead_coordination import Membership, Network
@@ -14,9 +15,15 @@
     now_ms,
 )
 
+logger = logging.getLogger(__name__)
+
 _IDLE_TIMEOUT_MS = 12_000
 _IDLE_CHECK_PERIOD_S = 2.0
 _RECONNECT_DELAY_MS = 250.0
+# No calls are sent over a link that has failed, so nothing else would open it
+# again.  Few are tried at a time: in a large fleet, many can fail at once.
+_REOPEN_PERIOD_S = 0.5
+_MAX_REOPENED = 4
 
 
 class LinkPool(Network):
@@ -42,7 +49,7 @@
         self._links: dict[str, PeerLink] = {}
         self._connecting: dict[str, asyncio.Task[PeerLink]] = {}
         self._failed_at_ms: dict[str, float] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def bytes_sent(self) -> int:
@@ -55,13 +62,16 @@
         return vm in self._failed_at_ms
 
     async def start(self) -> None:
-        """Start closing idle links periodically."""
-        self._task = asyncio.create_task(self._close_idle_forever())
+        """Start closing idle links and reopening failed ones."""
+        self._tasks = [
+            asyncio.create_task(self._close_idle_forever()),
+            asyncio.create_task(self._reopen_forever()),
+        ]
 
     async def close(self) -> None:
         """Close all links."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
         for link in tuple(self._links.values()):
             await link.close()
 
@@ -149,3 +159,29 @@
                 idle = link.last_used_ms < oldest_use_ms and not link.in_flight
                 if idle or not link.is_open:
                     await self._close_link(vm)
+
+    async def _reopen_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_REOPEN_PERIOD_S)
+            await asyncio.gather(
+                *(self._reopen(vm) for vm in self._choose_failed()),
+            )
+
+    def _choose_failed(self) -> list[str]:
+        """Return the failed links to reopen, those that failed first."""
+        failed_vms = []
+        for vm in sorted(
+            self._failed_at_ms, key=self._failed_at_ms.__getitem__
+        ):
+            member = self._membership.find(vm)
+            if member is None or not member.alive:
+                self._failed_at_ms.pop(vm)
+            else:
+                failed_vms.append(vm)
+        return failed_vms[:_MAX_REOPENED]
+
+    async def _reopen(self, vm: str) -> None:
+        try:
+            await self._open(vm)
+        except ChiveleadError as error:
+            logger.debug('link to %s cannot be reopened: %s', vm, error)
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -169,6 +169,7 @@
             member
             for member in members
             if not self._links.is_failing(member.vm)
+            and not self._estimates.is_silent(member.vm)
         ]
         return reachable or members
 
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -5,7 +5,12 @@
 import secrets
 import time
 
-from chivelead_coordination import FleetQuota, Membership
+from chivelead_coordination import (
+    FleetAggregate,
+    FleetQuota,
+    Membership,
+    RelayRanking,
+)
 from chivelead_platform import (
     HEADERS,
     PLAN_KEY,
@@ -30,9 +35,9 @@
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.log_writer import LogWriter
 from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.proxy.contacts import ContactDirectory
 from chivelead_node._internal.proxy.dialect import PlatformDialect
-from chivelead_node._internal.proxy.directory import NodeDirectory
-from chivelead_node._internal.proxy.heartbeats import HeartbeatExchange
+from chivelead_node._internal.proxy.fleet_reporter import FleetReporter
 from chivelead_node._internal.proxy.http_servers import ControlApiFormat
 from chivelead_node._internal.proxy.ingress import ProxyIngress
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
@@ -90,8 +95,8 @@
     inbound: InboundCalls
     ingress: ProxyIngress
     plan_feed: PlanFeed
-    heartbeats: HeartbeatExchange
-    directory: NodeDirectory
+    reporter: FleetReporter
+    contacts: ContactDirectory
     publisher: TargetStatePublisher
     prober: TargetProber
     health_monitor: TargetHealthMonitor
@@ -135,7 +140,7 @@
         events,
         settings.announcement_period_ms,
     )
-    overload = FleetOverload(membership)
+    overload = FleetOverload()
     call_monitor = TargetCallMonitor(overload)
     inbound = InboundCalls(
         target,
@@ -157,9 +162,12 @@
         estimates,
     )
     plan_feed = PlanFeed(store, PLAN_KEY, parse_plan, links, events)
-    heartbeats = HeartbeatExchange(
+    ranking = RelayRanking(membership)
+    reporter = FleetReporter(
         membership,
         links,
+        FleetAggregate(membership),
+        ranking,
         quota,
         plan_feed,
         admission,
@@ -209,9 +217,14 @@
             settings.memory_limit_mb * _BYTES_PER_MB * _BUFFER_MEMORY_FRACTION,
         ),
         plan_feed=plan_feed,
-        heartbeats=heartbeats,
-        directory=NodeDirectory(
-            store, membership, heartbeats.last_heard_ms, events
+        reporter=reporter,
+        contacts=ContactDirectory(
+            store,
+            membership,
+            ranking,
+            reporter,
+            events,
+            first_start=settings.first_start,
         ),
         publisher=publisher,
         prober=prober,
@@ -245,7 +258,7 @@
         incarnation=int(time.time() * _MS_PER_S),
         version=1,
         alive=True,
-        relay=False,
+        relay=True,
         host=settings.host,
         peer_port=settings.peer_port,
         failure_domain=settings.failure_domain,
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -11,8 +11,9 @@
 from chivelead_protocol import (
     CallCancel,
     CallRequest,
-    Heartbeat,
+    DomainDigest,
     Member,
+    NodeReport,
     PeerServer,
     Ping,
     PlanPull,
@@ -94,12 +95,9 @@
         await components.store.start()
         await components.links.start()
         await self._listen()
-        for component in (
-            components.plan_feed,
-            components.heartbeats,
-            components.directory,
-        ):
-            await component.start()
+        await components.plan_feed.start(components.reporter.should_watch_plan)
+        await components.reporter.start()
+        await components.contacts.start()
         self._tasks = [
             asyncio.create_task(self._publish_forever()),
             asyncio.create_task(components.health_monitor.run()),
@@ -121,6 +119,7 @@
         components.inbound.draining = True
         components.ingress.closing = True
         components.publisher.publish()
+        components.membership.update_own(relay=False)
         await self._wait_for_requests(shutdown_started_ms)
         components.events.record_node_event(
             'node-closed',
@@ -129,6 +128,7 @@
         )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+                await components.reporter.leave()
                 await self._close_components()
         await self._log_writer.close()
 
@@ -143,9 +143,9 @@
         for task in self._tasks:
             task.cancel()
         for component in (
-            components.heartbeats,
+            components.reporter,
             components.plan_feed,
-            components.directory,
+            components.contacts,
             components.links,
         ):
             await component.close()
@@ -196,8 +196,10 @@
         components = self._components
         if isinstance(message, CallRequest):
             return await components.inbound.handle_call(message)
-        if isinstance(message, Heartbeat):
-            return components.heartbeats.handle_heartbeat(vm, message)
+        if isinstance(message, NodeReport):
+            return components.reporter.handle_report(message)
+        if isinstance(message, DomainDigest):
+            return components.reporter.handle_domain_digest(vm, message)
         if isinstance(message, CallCancel):
             return components.inbound.cancel(message.attempt_id)
         if isinstance(message, PlanPull):
@@ -231,7 +233,7 @@
 
     def _handle_member_change(self, member: Member) -> None:
         if member.vm == self._settings.vm:
-            self._components.heartbeats.notify_region_soon()
+            self._components.reporter.report_soon()
 
     async def _publish_forever(self) -> None:
         """Publish the metrics and the state of the target.
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -302,7 +302,7 @@
                 _TOO_MANY_REQUESTS,
                 'rate',
                 f'{organisation} has used up its rate and burst:'
-                f' {self._quota.level(organisation):.1f} left',
+                f' {self._quota.describe(organisation)}',
                 retry_after_ms=wait_ms,
             )
 
--- a/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -19,9 +19,11 @@
 
 logger = logging.getLogger(__name__)
 
-# Longest time that a stalled watch can hide a change. An edit must take effect
-# within 2.5 s; peers usually deliver it sooner.
-_WATCH_TIMEOUT_MS = 2000
+# Each call costs, and the nodes of other failure domains watch as well: they
+# deliver a change that a stalled watch hides here.
+_WATCH_TIMEOUT_MS = 10_000
+# While another node watches for the failure domain.
+_ROLE_CHECK_PERIOD_S = 0.1
 _PULL_TIMEOUT_MS = 1000
 
 PlanListener = Callable[[TrafficPlan], None]
@@ -60,9 +62,16 @@
         self._watch_task: asyncio.Task[None] | None = None
         self._pull_tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
-        """Start watching the store."""
-        self._watch_task = asyncio.create_task(self._watch_forever())
+    async def start(self, should_watch: Callable[[], bool]) -> None:
+        """Start watching the store while this node is to watch it.
+
+        Args:
+            should_watch: Whether this node watches for its failure domain; the
+                others get changes from their peers.
+        """
+        self._watch_task = asyncio.create_task(
+            self._watch_forever(should_watch)
+        )
 
     async def close(self) -> None:
         """Stop watching the store and pulling from peers."""
@@ -102,24 +111,29 @@
         if isinstance(reply, PlanText) and reply.text:
             self._apply_text(reply.text, vm)
 
-    async def _watch_forever(self) -> None:
+    async def _watch_forever(self, should_watch: Callable[[], bool]) -> None:
         backoff = Backoff()
         while True:
+            if not should_watch():
+                await asyncio.sleep(_ROLE_CHECK_PERIOD_S)
+                continue
             try:
-                await self._watch(backoff)
+                await self._watch(backoff, should_watch)
             except StoreError as error:
                 logger.debug('watching the plan failed: %s', error)
                 await asyncio.sleep(backoff.next_delay_s())
 
-    async def _watch(self, backoff: Backoff) -> None:
-        """Read the plan, then watch it for changes until a watch fails."""
+    async def _watch(
+        self, backoff: Backoff, should_watch: Callable[[], bool]
+    ) -> None:
+        """Read the plan, then watch it until a watch fails or is not due."""
         listing = await self._store.list_prefix(self._key)
         backoff.reset()
         for entry in listing.entries:
             if entry.key == self._key:
                 self._apply_text(entry.text, 'store')
         revision = listing.revision
-        while True:
+        while should_watch():
             changes = await self._store.watch_prefix(
                 self._key,
                 revision,
--- a/packages/node/src/chivelead_node/_internal/target_estimates.py
+++ b/packages/node/src/chivelead_node/_internal/target_estimates.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Iterable
 
 from chivelead_protocol import CallReply, loop_ms
 
@@ -39,6 +40,7 @@
         """Create an empty table."""
         self._targets: dict[str, _TargetEstimate] = {}
         self._downstream_levels: dict[tuple[str, str], tuple[float, float]] = {}
+        self._silent_vms: frozenset[str] = frozenset()
         self._random = random.Random(seed)  # noqa: S311
 
     def record_reply(
@@ -69,6 +71,14 @@
             previous.updated_ms = loop_ms()
             previous.load = load
 
+    def record_silent(self, vms: Iterable[str]) -> None:
+        """Replace the set of nodes that have not reported for some time."""
+        self._silent_vms = frozenset(vms)
+
+    def is_silent(self, vm: str) -> bool:
+        """Return whether a node has not reported for some time."""
+        return vm in self._silent_vms
+
     def record_downstream_level(
         self, service: str, route: str, level: float
     ) -> None:
--- a/packages/platform/src/chivelead_platform/_internal/store.py
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -79,11 +79,14 @@
         """Return the entries of all keys with a prefix, in order."""
         return (await self.list_prefix(prefix)).entries
 
-    async def list_prefix(self, prefix: str) -> Listing:
+    async def list_prefix(
+        self, prefix: str, *, may_be_stale: bool = False
+    ) -> Listing:
         """Return all entries with a prefix, and a revision to watch from."""
         entries: list[StoredValue] = []
         revision = 0
-        query = {'prefix': prefix}
+        options = {'stale_ok': '1'} if may_be_stale else {}
+        query = {'prefix': prefix, **options}
         while True:
             page = await self._call('GET', 'kv-range', query=query)
             found = _decode(_decode_entries, page)
@@ -93,7 +96,7 @@
             entries.extend(found)
             if not found or not page.boolean('has_more'):
                 return Listing(tuple(entries), revision)
-            query = {'prefix': prefix, 'after': found[-1].key}
+            query = {'prefix': prefix, 'after': found[-1].key, **options}
 
     async def watch_prefix(
         self,
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -73,18 +73,39 @@
 from chivelead_protocol._internal.guard_messages import (
     GuardHandover as GuardHandover,
 )
-from chivelead_protocol._internal.heartbeat_messages import (
-    Heartbeat as Heartbeat,
+from chivelead_protocol._internal.fleet_messages import (
+    ChangePosition as ChangePosition,
 )
-from chivelead_protocol._internal.heartbeat_messages import (
+from chivelead_protocol._internal.fleet_messages import (
+    CountReport as CountReport,
+)
+from chivelead_protocol._internal.fleet_messages import (
+    DomainDigest as DomainDigest,
+)
+from chivelead_protocol._internal.fleet_messages import (
+    FanOutSum as FanOutSum,
+)
+from chivelead_protocol._internal.fleet_messages import (
+    FleetDigest as FleetDigest,
+)
+from chivelead_protocol._internal.fleet_messages import (
+    NodeReport as NodeReport,
+)
+from chivelead_protocol._internal.fleet_messages import (
     PlanPull as PlanPull,
 )
-from chivelead_protocol._internal.heartbeat_messages import (
+from chivelead_protocol._internal.fleet_messages import (
     PlanText as PlanText,
 )
-from chivelead_protocol._internal.heartbeat_messages import (
+from chivelead_protocol._internal.fleet_messages import (
     RequestCounts as RequestCounts,
 )
+from chivelead_protocol._internal.fleet_messages import (
+    ServiceShedding as ServiceShedding,
+)
+from chivelead_protocol._internal.fleet_messages import (
+    TargetLoad as TargetLoad,
+)
 from chivelead_protocol._internal.link import PeerLink as PeerLink
 from chivelead_protocol._internal.link_server import PeerServer as PeerServer
 from chivelead_protocol._internal.membership_messages import (
--- a/packages/protocol/src/chivelead_protocol/_internal/membership_messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/membership_messages.py
@@ -14,8 +14,9 @@
         incarnation: Increased by the node to refute what others report of it.
         version: Increased by the node with each change of its own entry.
         alive: False once the node has left or was declared dead.
-        relay: Whether the node holds a relay key in the store.  The few nodes
-            of a failure domain that do so watch the store for new documents.
+        relay: With documents: whether the node holds a relay key in the store
+            and watches it for new documents.  On the platform: whether the
+            node may be chosen as the relay of its failure domain.
         target_slots: Number of requests that the target handles concurrently.
         target_connections: Number of connections that the target accepts.
         shares: Numbers of the shares that the node owns; each share is a
