Wait for both contacts before the outage in a test

Ruled out: loss of a contact, since none was written yet. Change: the test waits for both. It is as strict: both must survive.

--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -75,6 +75,7 @@
 async def test_fleet_serves_through_an_outage_and_contacts_stay():
     """Contacts hold no lease, so no outage of the store removes them."""
     async with running_fleet('stock', 'orders') as fleet:
+        await wait_until(lambda: len(contact_vms(fleet)) == 2)
         fleet.store.error_status = 503
         await asyncio.sleep(1.5)
         fleet.store.expire_leases()
