Let quotas give what is due in a window, and charge only real demand

Two causes in the bucket: an idle node assumes 0.2 requests a second of every other node, and charged the bucket with that (38 a second at 194 nodes, more than most limits); and the bucket was refilled with the bare rate, while the rate and one burst are due in any window of 5 s. Ruled out: refilling with the whole burst a window (16 over the bound with 5 of 16 nodes cut off in a surge), charging unheard nodes by number (27 of 350 refused in the test of killed nodes; 64 over the bound when spread over a window), a larger bucket for small organisations (9 over the bound at 10/s). Change: others are charged by their reported demand; half a burst a window is refilled; a count over the window holds the sum to what is due; nodes that are not heard are assumed to have as much demand as those that are. Conclusion: organisations with a handful of requests a second are still refused more often by chance (12 of 145 at 10/s); open, in docs/design/fleet-state.md.

--- a/packages/coordination/src/chivelead_coordination/_internal/quota_bucket.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/quota_bucket.py
@@ -9,6 +9,12 @@
 _MS_PER_S = 1000
 # Time between two allocations; about the interval of digests.
 _INTERVAL_MS = 500.0
+# Windows over which the use of a quota is judged.
+_WINDOW_S = 5.0
+_INTERVALS_PER_WINDOW = 10
+# Part of the burst that may be used steadily; the rest makes up for what is
+# admitted before digests show it.
+_SUSTAINED_BURST_FRACTION = 0.5
 # Age of the counts in a digest: they pass from a node through two relays.
 _DIGEST_LAG_INTERVALS = 3
 # Time constant of the average of a demand.  Local demand is averaged like that
@@ -26,7 +32,7 @@
 # of requests.  The level is lower in the next interval, so the bound over 5 s
 # (a tenth more than rate and burst, plus 20 requests) still holds when demand
 # is five times the rate.
-_HEADROOM_BURSTS = 1.6
+_HEADROOM_BURSTS = 1.5
 _HEADROOM_REQUESTS = 20.0
 # Without a digest for this long, this node may be cut off from the others.
 # Longer than the longest interval between digests.
@@ -44,6 +50,21 @@
     rate_per_s: float
     burst_requests: float
 
+    @property
+    def refill_per_s(self) -> float:
+        """Return the sustained rate.
+
+        In each window, one burst is due besides the rate.
+        """
+        return self.rate_per_s + (
+            self.burst_requests * _SUSTAINED_BURST_FRACTION / _WINDOW_S
+        )
+
+    @property
+    def per_window(self) -> float:
+        """Return the number of requests that are due in any window."""
+        return self.rate_per_s * _WINDOW_S + self.burst_requests
+
 
 @dataclasses.dataclass
 class _FleetUsage:
@@ -89,14 +110,13 @@
             earlier_local_per_s: Demand at this node when they were counted.
             node_count: Number of the other nodes.
         """
-        demand = max(_MIN_DEMAND_PER_S * node_count, self.requested_per_s)
         if not self.has_reported:
-            return max(demand, local_per_s * node_count)
+            return max(_MIN_DEMAND_PER_S, local_per_s) * node_count
         earlier_per_s = max(_MIN_DEMAND_PER_S, earlier_local_per_s)
         growth = (local_per_s + _DEMAND_NOISE_PER_S) / (
             earlier_per_s + _DEMAND_NOISE_PER_S
         )
-        return demand * max(1.0, growth)
+        return self.requested_per_s * max(1.0, growth)
 
 
 @dataclasses.dataclass
@@ -134,14 +154,30 @@
 
 
 class QuotaBucket:
-    """Local copy of the token bucket of one organisation."""
+    """Local copy of the token bucket of one organisation.
+
+    In any window, an organisation is due its rate and one burst.  The bucket is
+    refilled fast enough for that, and ``_room`` holds the sum to it.
+
+    Args:
+        rate: Rate and burst.
+        burst_fraction: Part of the burst that is in the bucket at first.
+        fleet: Nodes that share the bucket.
+    """
 
     def __init__(
         self, rate: FleetRate, burst_fraction: float, fleet: FleetSize
     ) -> None:
+        """Create a bucket that nobody has used."""
         self.rate = rate
         self.level = rate.burst_requests * burst_fraction
         self.local = _LocalUsage()
+        # Requests that the fleet is known or assumed to have admitted, and the
+        # same number at the start of each interval of the window.
+        self._charged = (1 - burst_fraction) * rate.burst_requests
+        self._charged_history: collections.deque[float] = collections.deque(
+            [0.0], maxlen=_INTERVALS_PER_WINDOW
+        )
         self._fleet = fleet
         self._others = _FleetUsage(loop_ms())
         # Rate at which all other nodes are assumed to use the bucket.
@@ -160,12 +196,12 @@
         local.requested += 1
         local.interval_requested += 1
         if (
-            self.level >= 1
+            self._room() >= 1
             and local.interval_admitted + 1 <= local.interval_allowance
         ):
             local.admitted += 1
             local.interval_admitted += 1
-            self.level -= 1
+            self._charge(1)
             return 0
         return self._retry_after_ms()
 
@@ -203,10 +239,7 @@
             admitted = max(0, counts.admitted - others.admitted)
             others.requested = counts.requested
             others.admitted = counts.admitted
-        self.level = min(
-            self.level + others.estimated_admitted - admitted,
-            self.rate.burst_requests,
-        )
+        self._charge(admitted - others.estimated_admitted)
         change_per_s = requested / elapsed_ms * _MS_PER_S - (
             others.requested_per_s
         )
@@ -218,7 +251,7 @@
         """Return the limit, what is left of it, and the known demand."""
         return (
             f'{self.rate.rate_per_s:g}/s and {self.rate.burst_requests:g}'
-            f' at once; {self.level:.1f} left,'
+            f' at once; {self._room():.1f} left,'
             f' {self.local.interval_allowance:.1f} here;'
             f' demand {self.local.requested_per_s:.2f}/s here,'
             f' {self._others.requested_per_s:.2f}/s elsewhere'
@@ -228,16 +261,25 @@
         """Update the level, and start a new interval when one is due."""
         elapsed_s = (time_ms - self._refilled_ms) / _MS_PER_S
         self._refilled_ms = time_ms
-        accrued = (
-            self.rate.rate_per_s - self._others_admitted_per_s
-        ) * elapsed_s
-        self.level = min(self.level + accrued, self.rate.burst_requests)
+        self.level += self.rate.refill_per_s * elapsed_s
+        self._charge(self._others_admitted_per_s * elapsed_s)
         if time_ms - self._interval_start_ms >= _INTERVAL_MS:
             self._start_interval(time_ms)
 
+    def _charge(self, admitted: float) -> None:
+        """Charge admitted requests, or return some that were not."""
+        self._charged += admitted
+        self.level = min(self.level - admitted, self.rate.burst_requests)
+
+    def _room(self) -> float:
+        """Return how many requests the fleet may admit now."""
+        in_window = self._charged - self._charged_history[0]
+        return min(self.level, self.rate.per_window - in_window)
+
     def _start_interval(self, time_ms: float) -> None:
         """Divide the available tokens by demand for the next interval."""
         local = self.local
+        self._charged_history.append(self._charged)
         elapsed_ms = max(_INTERVAL_MS, time_ms - self._interval_start_ms)
         requested_per_s = local.interval_requested / elapsed_ms * _MS_PER_S
         local.requested_per_s += (
@@ -280,15 +322,17 @@
         """
         others = self._others
         history = self._local_history_per_s
+        node_count = self._fleet.node_count - 1
         others_demand = others.demand_per_s(
-            local_demand,
-            history[0] if history else 0,
-            self._fleet.node_count - 1,
+            local_demand, history[0] if history else 0, node_count
         )
         history.append(local_demand)
-        total_demand = local_demand + others_demand
-        accrued = self.rate.rate_per_s * _INTERVAL_MS / _MS_PER_S
-        available = max(0.0, self.level) + accrued
+        # Idle nodes count as well: a surge may begin at all nodes at once.
+        total_demand = local_demand + max(
+            others_demand, _MIN_DEMAND_PER_S * node_count
+        )
+        accrued = self.rate.refill_per_s * _INTERVAL_MS / _MS_PER_S
+        available = max(0.0, self._room()) + accrued
         # Nodes that are not heard may be using their part.
         shared = available * self._fleet.heard_fraction
         # The others admit their demand, but not more than their allocation.
@@ -297,7 +341,12 @@
         )
         others.extrapolate(time_ms)
         others.estimated_admitted_per_s = others_demand * demand_scale
-        unheard_per_s = (available - shared) / _INTERVAL_MS * _MS_PER_S
+        # Those that are not heard are assumed to have as much demand each.
+        heard = self._fleet.heard_fraction
+        unheard_per_s = min(
+            (available - shared) / _INTERVAL_MS * _MS_PER_S,
+            (local_demand + others_demand) * surge_factor * (1 - heard) / heard,
+        )
         self._others_admitted_per_s = (
             others.estimated_admitted_per_s + unheard_per_s
         )
@@ -313,7 +362,9 @@
         heard_fraction = 1 / node_count
         if self._is_in_touch(time_ms):
             heard_fraction = self._fleet.heard_fraction
-        headroom = max(0.0, self.level) * _HEADROOM_BURSTS + _HEADROOM_REQUESTS
+        headroom = (
+            max(0.0, self._room()) * _HEADROOM_BURSTS + _HEADROOM_REQUESTS
+        )
         # Nodes that are not heard may be using their headroom as well.
         return headroom / node_count * heard_fraction
 
@@ -329,13 +380,13 @@
         demand = self._others.requested_per_s + self.local.requested_per_s
         return (
             self._is_in_touch(time_ms)
-            and self.level >= self.rate.burst_requests / 2
+            and self._room() >= self.rate.burst_requests / 2
             and demand < self.rate.rate_per_s * _CALM_DEMAND_FRACTION
         )
 
     def _retry_after_ms(self) -> float:
-        missing_tokens = max(1.0, 1 - self.level)
-        wait_ms = missing_tokens / self.rate.rate_per_s * _MS_PER_S
+        missing_tokens = max(1.0, 1 - self._room())
+        wait_ms = missing_tokens / self.rate.refill_per_s * _MS_PER_S
         return min(max(wait_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
 
 
--- a/packages/coordination/tests/unit/test_fleet_quota.py
+++ b/packages/coordination/tests/unit/test_fleet_quota.py
@@ -20,6 +20,22 @@
     assert len(fleet.refused) <= offered * MAX_REFUSED_FRACTION_UNDER_FAULT
 
 
+@pytest.mark.parametrize('rate_per_s', [40, 160])
+async def test_demand_at_the_rate_gets_what_is_due(rate_per_s):
+    """Pattern: a burst in which organisations use all of their rate.
+
+    In any window of 5 s, the rate and one burst are due.  Demand that varies at
+    random around the rate stays below that, but empties a bucket that is
+    refilled with the bare rate.
+    """
+    fleet = QuotaFleet(rate_per_s, rate_per_s)
+    await fleet.start()
+    offered = await fleet.offer(16, rate_per_s, random_node)
+    await fleet.close()
+    assert fleet.max_excess() <= 0
+    assert len(fleet.refused) <= offered * 0.05
+
+
 @pytest.mark.parametrize('rate_per_s', [10, 40, 160])
 async def test_excess_at_all_nodes_stays_within_bound(rate_per_s):
     fleet = QuotaFleet(rate_per_s, rate_per_s)
