End watches of the plan in time, and read anew after a missed change

Ruled out: loss between relays (the version is part of each report and digest). Change: a watch ends after 0.45 of the time in which a plan must take effect (setting of the deployment), and the plan is read anew when the store's revision has moved on without an event. Before and after: test_plan_takes_effect_in_time_though_watches_hear_nothing times out with waits of 10 s and passes now.

--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -161,7 +161,9 @@
         events,
         estimates,
     )
-    plan_feed = PlanFeed(store, PLAN_KEY, parse_plan, links, events)
+    plan_feed = PlanFeed(
+        store, PLAN_KEY, parse_plan, links, events, settings.bounds.plan_ms
+    )
     ranking = RelayRanking(membership)
     reporter = FleetReporter(
         membership,
--- a/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -19,9 +19,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Each call costs, and the nodes of other failure domains watch as well: they
-# deliver a change that a stalled watch hides here.
-_WATCH_TIMEOUT_MS = 10_000
+# A watch may hear nothing without failing.  It ends after this part of the time
+# in which a plan must take effect; the rest is for passing it on.
+_WATCH_FRACTION = 0.45
 # While another node watches for the failure domain.
 _ROLE_CHECK_PERIOD_S = 0.1
 _PULL_TIMEOUT_MS = 1000
@@ -40,15 +40,17 @@
         parse: Parses the text of the plan.
         network: Links to other nodes.
         events: Event log.
+        bound_ms: Time in which a new plan must take effect everywhere.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         store: WatchableStore,
         key: str,
         parse: Callable[[bytes], TrafficPlan],
         network: Network,
         events: EventLog,
+        bound_ms: float,
     ) -> None:
         """Create a feed without a plan."""
         self.current = EMPTY_PLAN
@@ -58,6 +60,7 @@
         self._parse = parse
         self._network = network
         self._events = events
+        self._watch_timeout_ms = int(bound_ms * _WATCH_FRACTION)
         self._listeners: list[PlanListener] = []
         self._watch_task: asyncio.Task[None] | None = None
         self._pull_tasks: set[asyncio.Task[None]] = set()
@@ -137,8 +140,11 @@
             changes = await self._store.watch_prefix(
                 self._key,
                 revision,
-                _WATCH_TIMEOUT_MS,
+                self._watch_timeout_ms,
             )
+            if changes.revision > revision and not changes.changes:
+                # Other keys have changed, or the watch has missed something.
+                return
             revision = max(revision, changes.revision)
             for change in changes.changes:
                 if change.key == self._key and change.entry is not None:
--- a/packages/platform/src/chivelead_platform/_internal/process_settings.py
+++ b/packages/platform/src/chivelead_platform/_internal/process_settings.py
@@ -16,6 +16,7 @@
 # deployments.
 _DEFAULT_ANNOUNCEMENT_PERIOD_MS = 1500
 _DEFAULT_MEMORY_LIMIT_MB = 300
+_DEFAULT_PLAN_MS = 2500
 _DEFAULT_RETRY_RATIO = 0.2
 
 
@@ -61,12 +62,14 @@
         retry_window_ms: Time window in which retries are counted.
         retry_slack: Number of retries per window allowed beyond the ratio, for
             all nodes together.
+        plan_ms: Time in which a new traffic plan must take effect everywhere.
     """
 
     grace_ms: float
     retry_ratio: float
     retry_window_ms: float
     retry_slack: float
+    plan_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -201,4 +204,5 @@
         retry_ratio=bounds.number('retry_budget_ratio', _DEFAULT_RETRY_RATIO),
         retry_window_ms=bounds.number('retry_window_s', 10) * ms_per_s,
         retry_slack=bounds.number('budget_slack', 0),
+        plan_ms=bounds.number('config_ms', _DEFAULT_PLAN_MS),
     )
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -72,6 +72,18 @@
         )
 
 
+async def test_plan_takes_effect_in_time_though_watches_hear_nothing():
+    """A watch that has missed a change may end like one without changes."""
+    async with running_fleet('stock', 'orders') as fleet:
+        fleet.store.deaf_watches = True
+        await asyncio.sleep(0.2)
+        fleet.store.put('op/config', make_plan_text(9, ROUTES, ORGANISATIONS))
+        await wait_until(
+            lambda: all(fleet.plan_version(index) == 9 for index in (0, 1)),
+            2.5,
+        )
+
+
 async def test_fleet_serves_through_an_outage_and_contacts_stay():
     """Contacts hold no lease, so no outage of the store removes them."""
     async with running_fleet('stock', 'orders') as fleet:
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -53,6 +53,8 @@
     While ``error_status`` is set, every call gets that status.  While
     ``malformed_replies`` is set, every reply is HTML instead of JSON.  The next
     ``write_replies_to_drop`` writes take effect, but their replies are lost.
+    While ``deaf_watches`` is set, watches report no changes.
+    While ``deaf_watches`` is set, watches report no changes.
     ``watch_counts`` counts the watch calls for each prefix.
     """
 
@@ -61,6 +63,7 @@
         self.port = free_ports(1)[0]
         self.error_status = 0
         self.malformed_replies = False
+        self.deaf_watches = False
         self.write_replies_to_drop = 0
         self.call_count = 0
         self.watch_counts = collections.Counter()
@@ -181,7 +184,9 @@
             events = [
                 event
                 for event in self.events
-                if event['revision'] > after and event['key'].startswith(prefix)
+                if event['revision'] > after
+                and event['key'].startswith(prefix)
+                and not self.deaf_watches
             ]
             remaining_s = end_s - asyncio.get_running_loop().time()
             if events or remaining_s <= 0:
@@ -335,7 +340,7 @@
         announcement_period_ms=1500,
         memory_limit_mb=300,
         store=StoreSettings(Address(HOST, store.port), 1000),
-        bounds=FleetBounds(6000, 0.2, 10000, 48),
+        bounds=FleetBounds(6000, 0.2, 10000, 48, 2500),
     )
 
 
