Consider a few targets of each tier for a call, not all of the service

Ruled out: the own failure domain only (a single slow target there would always look the fastest). Change: up to four of the own domain, of the region and of beyond, at random; all, if none of these can be used. Ready targets by distance are kept until a member changes.

--- a/packages/coordination/src/chivelead_coordination/__init__.py
+++ b/packages/coordination/src/chivelead_coordination/__init__.py
@@ -61,6 +61,9 @@
 from chivelead_coordination._internal.membership import (
     Membership as Membership,
 )
+from chivelead_coordination._internal.membership import (
+    distance_tier as distance_tier,
+)
 from chivelead_coordination._internal.network import Network as Network
 from chivelead_coordination._internal.ownership import (
     SHARE_COUNT as SHARE_COUNT,
--- a/packages/coordination/src/chivelead_coordination/_internal/membership.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/membership.py
@@ -5,7 +5,7 @@
 import zlib
 from collections.abc import Callable, Iterable
 
-from chivelead_protocol import Member, now_ms
+from chivelead_protocol import Member, TargetState, now_ms
 
 from chivelead_coordination._internal.rendezvous import rank_members
 
@@ -13,10 +13,18 @@
 _TRANSMISSIONS_PER_UPDATE = 8
 _DEAD_RETENTION_MS = 600_000
 _DIGEST_MASK = 0xFFFFFFFF
+_TIER_COUNT = 3
 
 Listener = Callable[[Member], None]
 
 
+def distance_tier(own: Member, member: Member) -> int:
+    """Return 0 in the same failure domain, 1 in the same region, else 2."""
+    if member.region != own.region:
+        return 2
+    return int(member.failure_domain != own.failure_domain)
+
+
 def _entry_checksum(member: Member) -> int:
     text = f'{member.vm}|{member.boot_id}|{member.rank}'
     return zlib.crc32(text.encode())
@@ -42,6 +50,7 @@
         # Cached results of queries on the request path; cleared on each change.
         self._member_cache: dict[tuple[str, str], tuple[Member, ...]] = {}
         self._owner_cache: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._ready_cache: dict[str, tuple[tuple[Member, ...], ...]] = {}
 
     @property
     def own(self) -> Member:
@@ -106,6 +115,32 @@
             self._member_cache[('service', service)] = members
         return members
 
+    def ready_by_distance(self, service: str) -> tuple[tuple[Member, ...], ...]:
+        """Return the live members with ready targets of a service.
+
+        Returns:
+            Those of this node's failure domain, of the rest of its region, and
+            of other regions.
+        """
+        tiers = self._ready_cache.get(service)
+        if tiers is None:
+            own = self.own
+            ready = [
+                member
+                for member in self.service_members(service)
+                if member.target_state == TargetState.ready
+            ]
+            tiers = tuple(
+                tuple(
+                    member
+                    for member in ready
+                    if distance_tier(own, member) == tier
+                )
+                for tier in range(_TIER_COUNT)
+            )
+            self._ready_cache[service] = tiers
+        return tiers
+
     def share_owners(
         self, failure_domain: str, subject: str
     ) -> tuple[str, ...]:
@@ -220,6 +255,7 @@
     def _replace_entry(self, member: Member) -> None:
         self._member_cache.clear()
         self._owner_cache.clear()
+        self._ready_cache.clear()
         known = self._members.get(member.vm)
         if known is not None:
             self._digest ^= _entry_checksum(known)
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -3,10 +3,11 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Callable, Coroutine
+import random
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
-from chivelead_coordination import Membership
+from chivelead_coordination import Membership, distance_tier
 from chivelead_policy import (
     Candidate,
     FailedAttempt,
@@ -23,7 +24,6 @@
     Member,
     Outcome,
     ReplyTimeoutError,
-    TargetState,
     loop_ms,
 )
 
@@ -35,6 +35,8 @@
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _DRAINING_AVOIDANCE_MS = 2000.0
+# The better of two is chosen, so more candidates would only cost time.
+_MAX_CANDIDATES_PER_TIER = 4
 # Reasons of refusals that come from the target rather than from a node.
 _REFUSALS_BY_TARGET = frozenset(('target-overload', 'target-refused'))
 
@@ -81,6 +83,7 @@
         self._in_flight: dict[str, int] = {}
         self._draining_until_ms: dict[str, float] = {}
         self._attempt_numbers = itertools.count(1)
+        self._random = random.Random()  # noqa: S311
 
     async def run(self, call: calls.Call) -> CallReply:
         """Run a call, retry it as the policy allows, and return the reply."""
@@ -157,32 +160,47 @@
         return self._router.choose(candidates).vm
 
     def _available_members(self, service: str, tried: set[str]) -> list[Member]:
+        """Return some members to choose from, or all if those are unusable."""
+        tiers = self._membership.ready_by_distance(service)
+        sampled = self._without_unavailable(
+            itertools.chain.from_iterable(map(self._sample, tiers)), tried
+        )
+        reachable = self._without_failing(sampled)
+        if reachable:
+            return reachable
+        members = self._without_unavailable(
+            itertools.chain.from_iterable(tiers), tried
+        )
+        return self._without_failing(members) or members
+
+    def _sample(self, members: tuple[Member, ...]) -> Iterable[Member]:
+        if len(members) <= _MAX_CANDIDATES_PER_TIER:
+            return members
+        return self._random.sample(members, _MAX_CANDIDATES_PER_TIER)
+
+    def _without_unavailable(
+        self, members: Iterable[Member], tried: set[str]
+    ) -> list[Member]:
         time_ms = loop_ms()
-        members = [
+        return [
             member
-            for member in self._membership.service_members(service)
-            if member.target_state == TargetState.ready
-            and member.vm not in tried
+            for member in members
+            if member.vm not in tried
             and self._draining_until_ms.get(member.vm, 0) < time_ms
         ]
-        reachable = [
+
+    def _without_failing(self, members: list[Member]) -> list[Member]:
+        return [
             member
             for member in members
             if not self._links.is_failing(member.vm)
             and not self._estimates.is_silent(member.vm)
         ]
-        return reachable or members
 
     def _candidate(self, member: Member) -> Candidate:
-        own = self._membership.own
-        tier = 0
-        if member.region != own.region:
-            tier = 2
-        elif member.failure_domain != own.failure_domain:
-            tier = 1
         return Candidate(
             vm=member.vm,
-            tier=tier,
+            tier=distance_tier(self._membership.own, member),
             slots=member.target_slots,
             in_flight=self._in_flight.get(member.vm, 0),
             load=self._estimates.load(member.vm),
