Draw the ports of the tests below those of outgoing connections

Ruled out: keeping the sockets bound (the servers could not bind them). Change: ports come from 20000 to 31999, below the kernel's range, each only once in a process, from a random start. Before and after: not measured again; 14 tests of test_platform_requests pass. Conclusion: two runs of the tests on one machine can still meet, one in 12,000 times the number of ports each uses.

--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -6,7 +6,9 @@
 import contextlib
 import itertools
 import json
+import random
 import secrets
+import socket
 
 from aiohttp import web
 from chivelead_platform import (
@@ -19,16 +21,20 @@
 HOST = '127.0.0.1'
 
 
+# Below the ports that the kernel gives to outgoing connections.
+_FIRST_PORT = 20_000
+_PORT_COUNT = 12_000
+_port_numbers = itertools.count(random.randrange(_PORT_COUNT))
+
+
 def free_ports(count):
-    """Return ports that are unused now; nothing reserves them."""
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that are unused now, and that no other call returns."""
+    ports = []
+    while len(ports) < count:
+        port = _FIRST_PORT + next(_port_numbers) % _PORT_COUNT
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            ports.append(port)
     return ports
 
 
