Count the nodes of a former relay apart from its own requests

A former relay reports its own counts as a node and exchanges a digest with the counts of its domain; both were kept under its name, so one counter went back and forth between two cumulative counts, and each step up was added to the fleet's. Ruled out: rates of silent sources (mended before, the levels stayed), base counts of organisations that a full report lacks (read, they are complete), the move to another relay itself (simulated with 17 nodes: levels right). Change: the digest of a relay is a source of its own.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
@@ -161,7 +161,9 @@
         sender = self._membership.find(vm)
         failure_domain = sender.failure_domain if sender else ''
         self._forget_replaced_relays(vm, failure_domain)
-        self._fleet_tally.apply(vm, digest.position.boot_id, digest.counts)
+        self._fleet_tally.apply(
+            _relay_source(vm), digest.position.boot_id, digest.counts
+        )
         self._relays[vm] = _RelayState(
             failure_domain, digest, loop_ms(), digest.received
         )
@@ -171,7 +173,7 @@
         relay = self._relays.get(vm)
         acknowledged = relay.acknowledged if relay else _NO_POSITION
         received = relay.digest.position if relay else _NO_POSITION
-        if not self._fleet_tally.is_known(vm, received.boot_id):
+        if not self._fleet_tally.is_known(_relay_source(vm), received.boot_id):
             # Asks the other relay for complete counts.
             received = _NO_POSITION
         own_domain = self._membership.own.failure_domain
@@ -249,7 +251,7 @@
                 and relay.heard_ms < cutoff_ms
             ):
                 self._relays.pop(other)
-                self._fleet_tally.forget(other)
+                self._fleet_tally.forget(_relay_source(other))
 
     def _count_heard(self) -> int:
         cutoff_ms = loop_ms() - SILENT_AFTER_MS
@@ -328,6 +330,15 @@
         )
 
 
+def _relay_source(vm: str) -> str:
+    """Return the source of the counts of a relay.
+
+    A former relay reports its own counts as a node, and still exchanges those
+    of its domain: these are two sources.
+    """
+    return f'relay {vm}'
+
+
 def _merge_states(
     parts: Iterable[_CombinedState | DomainDigest],
 ) -> _CombinedState:
--- a/packages/coordination/tests/unit/test_fleet_aggregate.py
+++ b/packages/coordination/tests/unit/test_fleet_aggregate.py
@@ -12,6 +12,7 @@
     ChangePosition,
     CountReport,
     NodeReport,
+    RequestCounts,
     encode_frame,
 )
 from lib.clocks import advance_clock
@@ -232,6 +233,31 @@
     assert relay.membership.find(vm).boot_id == 'boot-later'
 
 
+async def test_former_relay_is_not_counted_twice():
+    """It reports as a node, and its digests carry what others reported to it.
+
+    Pattern: a machine that joins becomes the relay of a serving domain.
+    """
+    former, successor, node, reader = (
+        Node(f'z0-0{number}', 'z0') for number in range(4)
+    )
+
+    def report(sender, relay, requests, *, is_full=False):
+        counts = CountReport(is_full, (RequestCounts('mill', *requests),))
+        message = dataclasses.replace(sender.make_report(), counts=counts)
+        relay.aggregate.apply_report(message)
+
+    report(node, former, (0, 0), is_full=True)
+    report(node, former, (400, 400))
+    report(former, successor, (0, 0), is_full=True)
+    report(reader, successor, (0, 0), is_full=True)
+    for round_number in range(1, 6):
+        exchange(successor, former)
+        report(former, successor, (round_number, round_number))
+    digest = successor.aggregate.make_fleet_digest(reader.make_report())
+    assert digest.counts.counts == (RequestCounts('mill', 5, 5),)
+
+
 async def test_stopping_relay_hands_over():
     nodes = make_fleet(4)
     await run_round(nodes)
