--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -37,6 +37,7 @@
 from chivelead_node._internal.outbound import OutboundCalls
 from chivelead_node._internal.proxy.contacts import ContactDirectory
 from chivelead_node._internal.proxy.dialect import PlatformDialect
+from chivelead_node._internal.proxy.domain_relay import DomainRelay
 from chivelead_node._internal.proxy.fleet_reporter import FleetReporter
 from chivelead_node._internal.proxy.http_servers import ControlApiFormat
 from chivelead_node._internal.proxy.ingress import ProxyIngress
@@ -95,6 +96,7 @@
     inbound: InboundCalls
     ingress: ProxyIngress
     plan_feed: PlanFeed
+    relay: DomainRelay
     reporter: FleetReporter
     contacts: ContactDirectory
     publisher: TargetStatePublisher
@@ -168,11 +170,19 @@
         store, PLAN_KEY, parse_plan, links, events, settings.bounds.plan_ms
     )
     ranking = RelayRanking(membership)
-    reporter = FleetReporter(
+    relay = DomainRelay(
         membership,
         links,
         FleetAggregate(membership),
         ranking,
+        plan_feed,
+        events,
+    )
+    reporter = FleetReporter(
+        membership,
+        links,
+        relay,
+        ranking,
         quota,
         plan_feed,
         admission,
@@ -222,12 +232,14 @@
             buffer_limit_bytes,
         ),
         plan_feed=plan_feed,
+        relay=relay,
         reporter=reporter,
         contacts=ContactDirectory(
             store,
             membership,
             ranking,
             reporter,
+            relay,
             events,
             first_start=settings.first_start,
         ),
--- a/packages/node/src/chivelead_node/_internal/proxy/contacts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/contacts.py
@@ -29,6 +29,7 @@
 
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.proxy.backoff import Backoff
+from chivelead_node._internal.proxy.domain_relay import DomainRelay
 from chivelead_node._internal.proxy.fleet_reporter import FleetReporter
 
 logger = logging.getLogger(__name__)
@@ -57,6 +58,7 @@
         membership: Table that unknown contacts are added to.
         ranking: Ranks the nodes of a failure domain.
         reporter: Joins the fleet through a contact.
+        relay: Exchanges digests with contacts.
         events: Event log.
         first_start: Whether the whole fleet starts for the first time.
     """
@@ -67,6 +69,7 @@
         membership: Membership,
         ranking: RelayRanking,
         reporter: FleetReporter,
+        relay: DomainRelay,
         events: EventLog,
         *,
         first_start: bool,
@@ -77,6 +80,7 @@
         self._membership = membership
         self._ranking = ranking
         self._reporter = reporter
+        self._relay = relay
         self._events = events
         self._first_start = first_start
         self._backoff = Backoff()
@@ -103,7 +107,7 @@
     async def _join(self) -> None:
         """Report to a contact, or become one if there is none."""
         found_at_ms = loop_ms() + self._founding_delay_ms()
-        while not self._reporter.joined.is_set():
+        while not self._relay.joined.is_set():
             try:
                 await self._try_to_join(found_at_ms)
             except StoreError as error:
@@ -116,7 +120,7 @@
     async def _wait_until_joined(self) -> None:
         try:
             async with asyncio.timeout(_JOIN_PERIOD_S):
-                await self._reporter.joined.wait()
+                await self._relay.joined.wait()
         except TimeoutError:
             return
 
@@ -128,7 +132,7 @@
             listing = await self._list(may_be_stale=False)
             if not await self._report_to_contact(listing):
                 await self._register_own(listing)
-                self._reporter.joined.set()
+                self._relay.joined.set()
 
     async def _report_to_contact(self, listing: Listing) -> bool:
         for member in self._add_contacts(listing):
@@ -147,7 +151,7 @@
         )
 
     async def _check_guarded(self) -> None:
-        if not self._reporter.is_relay():
+        if not self._relay.is_relay():
             return
         try:
             await self._check()
@@ -164,7 +168,7 @@
         for member in self._add_contacts(listing):
             known = self._membership.find(member.vm)
             if known is None or not known.alive or not known.version:
-                await self._reporter.exchange_with(member.vm)
+                await self._relay.exchange_with(member.vm)
         if self._ranking.is_first and self._find_vacant(listing):
             # Only what is read afresh may be replaced.
             await self._register_candidates(
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -96,9 +96,10 @@
         await components.links.start()
         await self._listen()
         await components.plan_feed.start(
-            components.reporter.should_watch_plan,
+            components.relay.should_watch_plan,
             read_first=not settings.first_start,
         )
+        await components.relay.start()
         await components.reporter.start()
         await components.contacts.start()
         self._tasks = [
@@ -147,6 +148,7 @@
             task.cancel()
         for component in (
             components.reporter,
+            components.relay,
             components.plan_feed,
             components.contacts,
             components.links,
@@ -200,9 +202,9 @@
         if isinstance(message, CallRequest):
             return await components.inbound.handle_call(message)
         if isinstance(message, NodeReport):
-            return components.reporter.handle_report(message)
+            return components.relay.handle_report(message)
         if isinstance(message, DomainDigest):
-            return components.reporter.handle_domain_digest(vm, message)
+            return components.relay.handle_domain_digest(vm, message)
         if isinstance(message, CallCancel):
             return components.inbound.cancel(message.attempt_id)
         if isinstance(message, PlanPull):
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -1,11 +1,10 @@
-"""Reports of this node to its relay, and its own work as a relay."""
+"""Reports of this node to the relay of its failure domain."""
 
 import asyncio
 import logging
 import random
 
 from chivelead_coordination import (
-    FleetAggregate,
     FleetQuota,
     Membership,
     Network,
@@ -15,14 +14,13 @@
 from chivelead_protocol import (
     ChangePosition,
     ChiveleadError,
-    DomainDigest,
     FleetDigest,
     Member,
     NodeReport,
-    now_ms,
 )
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.domain_relay import DomainRelay
 from chivelead_node._internal.proxy.overload import FleetOverload
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 from chivelead_node._internal.target_estimates import TargetEstimates
@@ -32,21 +30,10 @@
 _REPORT_PERIOD_S = 0.5
 # A relay with many nodes lets them report less often.
 _MAX_REPORTS_PER_S = 64.0
-# Traffic between regions is billed by the byte.
-_OWN_REGION_PERIOD_S = 0.5
-_OTHER_REGION_PERIOD_S = 1.0
-# An exchange is skipped if the other relay started one within this fraction of
-# the period.
-_SKIP_FRACTION = 0.9
-_RELAY_CHECK_PERIOD_S = 0.1
-_SILENCE_CHECK_PERIOD_S = 0.5
-_EXCHANGE_TIMEOUT_MS = 1000.0
 # A node of the own failure domain responds within a millisecond.
 _REPORT_TIMEOUT_MS = 700.0
 # Each period is extended by a random delay of up to this fraction.
 _MAX_JITTER = 0.2
-# An overdue node is gone after this many failed checks in a row.
-_FAILED_CHECKS_UNTIL_GONE = 2
 # Digests in a row that show a different table before all entries are sent.
 _MAX_TABLE_MISMATCHES = 6
 # A node that counts as dead may be cut off and go on admitting requests, so it
@@ -58,13 +45,10 @@
 class FleetReporter:
     """Report to the relay periodically, and apply the state that it returns.
 
-    A node that ranks first in its failure domain, or to which others report, is
-    a relay: it exchanges digests with the relays of other failure domains.
-
     Args:
         membership: Nodes of the fleet.
         network: Links to other nodes.
-        aggregate: Reports that reach this node as a relay.
+        relay: Work of this node as a relay; it may be its own.
         ranking: Ranks the nodes as relays.
         quota: Request counts to send and to update.
         plan_feed: Traffic plan in force.
@@ -72,16 +56,13 @@
         estimates: Estimates of the targets; receives the load of other targets.
         overload: Overload and call graph to send and to update.
         events: Event log.
-
-    Attributes:
-        joined: Set once this node has reached another one or founds the fleet.
     """
 
     def __init__(  # noqa: WPS211
         self,
         membership: Membership,
         network: Network,
-        aggregate: FleetAggregate,
+        relay: DomainRelay,
         ranking: RelayRanking,
         quota: FleetQuota,
         plan_feed: PlanFeed,
@@ -91,10 +72,9 @@
         events: EventLog,
     ) -> None:
         """Create a reporter; nothing is sent yet."""
-        self.joined = asyncio.Event()
         self._membership = membership
         self._network = network
-        self._aggregate = aggregate
+        self._relay = relay
         self._ranking = ranking
         self._quota = quota
         self._plan_feed = plan_feed
@@ -107,19 +87,14 @@
         self._counted_by = ''
         self._relay_vm = ''
         self._table_mismatches = 0
-        self._is_relay = False
         self._report_lock = asyncio.Lock()
         self._periodic_tasks: list[asyncio.Task[None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._domain_tasks: dict[str, asyncio.Task[None]] = {}
-        self._failed_checks: dict[str, int] = {}
 
     async def start(self) -> None:
         """Start reporting."""
         self._periodic_tasks = [
             asyncio.create_task(self._report_forever()),
-            asyncio.create_task(self._exchange_digests_forever()),
-            asyncio.create_task(self._check_silent_forever()),
         ]
 
     async def close(self) -> None:
@@ -127,7 +102,6 @@
         for task in (
             *self._periodic_tasks,
             *self._tasks,
-            *self._domain_tasks.values(),
         ):
             task.cancel()
 
@@ -136,30 +110,6 @@
         self._membership.update_own(alive=False)
         await self.report()
 
-    def should_watch_plan(self) -> bool:
-        """Return whether this node watches the plan for its failure domain."""
-        return self.joined.is_set() and self._ranking.is_first
-
-    def is_relay(self) -> bool:
-        """Return whether this node relays state for its failure domain."""
-        return self._ranking.is_first or self._aggregate.has_reporting_nodes
-
-    def handle_report(self, report: NodeReport) -> FleetDigest:
-        """Apply the report of a node and return the state of the fleet."""
-        if report.member.vm != self._membership.own.vm:
-            self.joined.set()
-        self._aggregate.apply_report(report)
-        return self._aggregate.make_fleet_digest(report)
-
-    def handle_domain_digest(
-        self, vm: str, digest: DomainDigest
-    ) -> DomainDigest:
-        """Apply the digest of another relay and return that of this node."""
-        self.joined.set()
-        self._aggregate.apply_domain_digest(vm, digest)
-        self._plan_feed.pull_if_newer(vm, digest.plan_version)
-        return self._aggregate.make_domain_digest(vm)
-
     def report_soon(self) -> None:
         """Schedule a report at once, after a change of this node."""
         self._spawn(self.report())
@@ -181,26 +131,6 @@
         async with self._report_lock:
             return await self._report_to(vm)
 
-    async def exchange_with(self, vm: str) -> bool:
-        """Exchange digests with a relay; return whether it responded."""
-        try:
-            reply = await self._network.request(
-                vm,
-                self._aggregate.make_domain_digest(vm),
-                _EXCHANGE_TIMEOUT_MS,
-            )
-        except ChiveleadError as error:
-            logger.debug('digest for %s failed: %s', vm, error)
-            self._ranking.record_failure(vm)
-            return False
-        if not isinstance(reply, DomainDigest):
-            return False
-        self._ranking.record_success(vm)
-        self.joined.set()
-        self._aggregate.apply_domain_digest(vm, reply)
-        self._plan_feed.pull_if_newer(vm, reply.plan_version)
-        return True
-
     def _spawn(self, coroutine: object) -> None:
         task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
         self._tasks.add(task)
@@ -220,7 +150,7 @@
             self._position = _NO_POSITION
         report = self._build_report(all_members=all_members)
         if vm == self._membership.own.vm:
-            digest = self.handle_report(report)
+            digest = self._relay.handle_report(report)
         else:
             try:
                 digest = await self._network.request(
@@ -232,7 +162,7 @@
                 return False
             if not isinstance(digest, FleetDigest):
                 return False
-            self.joined.set()
+            self._relay.joined.set()
             self._ranking.record_success(vm)
         if not digest.is_counted:
             self._counted_by = ''
@@ -293,72 +223,3 @@
                 self._estimates.record_load(target.vm, target.load)
         self._estimates.record_silent(digest.silent_vms)
         self._plan_feed.pull_if_newer(vm, digest.plan_version)
-
-    async def _exchange_digests_forever(self) -> None:
-        while True:
-            await asyncio.sleep(_RELAY_CHECK_PERIOD_S)
-            is_relay = self.is_relay()
-            if is_relay != self._is_relay:
-                self._is_relay = is_relay
-                self._aggregate.reset_expectations()
-                self._events.record_node_event(
-                    'relay-started' if is_relay else 'relay-ended',
-                    failure_domain=self._membership.own.failure_domain,
-                    first=self._ranking.is_first,
-                )
-            if is_relay:
-                self._start_exchanges()
-
-    def _start_exchanges(self) -> None:
-        own = self._membership.own
-        for failure_domain in self._ranking.failure_domains():
-            task = self._domain_tasks.get(failure_domain)
-            if task is not None and not task.done():
-                continue
-            if failure_domain == own.failure_domain and self._ranking.is_first:
-                continue
-            self._domain_tasks[failure_domain] = asyncio.create_task(
-                self._exchange_with_domain(failure_domain)
-            )
-
-    async def _exchange_with_domain(self, failure_domain: str) -> None:
-        """Exchange digests with the relay of a domain, then wait a period."""
-        own = self._membership.own
-        vm = self._ranking.candidates(failure_domain)[0]
-        member = self._membership.find(vm)
-        period_s = (
-            _OWN_REGION_PERIOD_S
-            if member is not None and member.region == own.region
-            else _OTHER_REGION_PERIOD_S
-        )
-        since_heard_ms = now_ms() - self._aggregate.relay_heard_ms(vm)
-        if vm != own.vm and since_heard_ms > period_s * _SKIP_FRACTION * 1000:
-            await self.exchange_with(vm)
-        jitter_s = period_s * _MAX_JITTER * random.random()  # noqa: S311
-        await asyncio.sleep(period_s + jitter_s)
-
-    async def _check_silent_forever(self) -> None:
-        while True:
-            await asyncio.sleep(_SILENCE_CHECK_PERIOD_S)
-            if self._is_relay:
-                await asyncio.gather(
-                    *map(self._check_overdue, self._aggregate.overdue_vms())
-                )
-
-    async def _check_overdue(self, vm: str) -> None:
-        """Contact an overdue node; remove it if it does not respond.
-
-        A node that lives, but reports elsewhere, learns of this relay.
-        """
-        if await self.exchange_with(vm):
-            self._failed_checks.pop(vm, None)
-            self._aggregate.expect_again(vm)
-            return
-        failed = self._failed_checks.get(vm, 0) + 1
-        self._failed_checks[vm] = failed
-        if failed >= _FAILED_CHECKS_UNTIL_GONE and self._aggregate.is_in_touch:
-            self._failed_checks.pop(vm)
-            self._events.record_node_event(
-                'node-gone', peer=vm, failed_checks=failed
-            )
-            self._aggregate.remove(vm)
--- a/packages/node/tests/unit/test_fleet_reporter.py
+++ b/packages/node/tests/unit/test_fleet_reporter.py
@@ -38,12 +38,14 @@
         """Start all reporters; what they log is discarded."""
         await self.log_writer.start()
         for components in self.nodes.values():
+            await components.relay.start()
             await components.reporter.start()
 
     async def close(self):
         """Stop all reporters."""
         for components in self.nodes.values():
             await components.reporter.close()
+            await components.relay.close()
         await self.log_writer.close()
         os.close(self.log_descriptor)
 
@@ -68,11 +70,11 @@
             if {sender, vm} & self.cut_vms:
                 raise LinkNotOpenError('request', f'{vm} is cut off')
             self.sent.append((sender, vm, body))
-            reporter = self.nodes[vm].reporter
+            relay = self.nodes[vm].relay
             if isinstance(body, NodeReport):
-                return reporter.handle_report(body)
+                return relay.handle_report(body)
             assert isinstance(body, DomainDigest)
-            return reporter.handle_domain_digest(sender, body)
+            return relay.handle_domain_digest(sender, body)
 
         return request
 
@@ -95,7 +97,7 @@
             await components.reporter.join_via(f'vm-{number % 2}')
     first = fleet.nodes['vm-0']
     first.membership.merge([fleet.nodes['vm-1'].membership.own])
-    await first.reporter.exchange_with('vm-1')
+    await first.relay.exchange_with('vm-1')
     await wait_until(fleet.all_know_all, 6)
 
 
@@ -167,5 +169,6 @@
     leaving = fleet.nodes['vm-3']
     await leaving.reporter.leave()
     await leaving.reporter.close()
+    await leaving.relay.close()
     fleet.nodes.pop('vm-3')
     await wait_until(fleet.all_know_all, 4)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -154,6 +154,7 @@
         task.cancel()
     for component in (
         components.reporter,
+        components.relay,
         components.contacts,
         components.plan_feed,
         components.links,
