--- a/packages/coordination/src/chivelead_coordination/__init__.py
+++ b/packages/coordination/src/chivelead_coordination/__init__.py
@@ -71,7 +71,7 @@
 from chivelead_coordination._internal.ownership import (
     ShareOwnership as ShareOwnership,
 )
-from chivelead_coordination._internal.quota_bucket import (
+from chivelead_coordination._internal.quota_usage import (
     FleetRate as FleetRate,
 )
 from chivelead_coordination._internal.rates import TOTAL_UNITS as TOTAL_UNITS
--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
@@ -6,18 +6,13 @@
 cost for a node thus does not grow with the fleet.
 """
 
-import collections
 import dataclasses
-from collections.abc import Iterable
 
 from chivelead_protocol import (
     ChangePosition,
     DomainDigest,
-    FanOutSum,
     FleetDigest,
     NodeReport,
-    ServiceShedding,
-    TargetLoad,
     loop_ms,
 )
 
@@ -25,6 +20,11 @@
     SILENT_AFTER_MS,
     CountTally,
 )
+from chivelead_coordination._internal.load_sums import (
+    CombinedState,
+    combine_reports,
+    merge_states,
+)
 from chivelead_coordination._internal.member_changes import MemberChanges
 from chivelead_coordination._internal.membership import Membership
 
@@ -34,8 +34,6 @@
 _OVERDUE_AFTER_MS = 3000.0
 # The digest of a relay that was replaced is dropped after this time.
 _REPLACED_RELAY_MS = 4000.0
-# Lower loads are not reported: such a target has capacity.
-_MIN_REPORTED_LOAD = 0.5
 # The combined state is the same for all nodes that report within this time.
 _CACHE_MAX_AGE_MS = 100.0
 
@@ -64,18 +62,6 @@
     acknowledged: ChangePosition
 
 
-@dataclasses.dataclass(frozen=True)
-class _CombinedState:
-    """State of a set of nodes at one moment."""
-
-    heard_count: int
-    plan_version: int
-    sheddings: tuple[ServiceShedding, ...]
-    fan_outs: tuple[FanOutSum, ...]
-    busy_targets: tuple[TargetLoad, ...]
-    silent_vms: tuple[str, ...]
-
-
 class FleetAggregate:
     """Combine the reports that reach this node while it is a relay.
 
@@ -93,7 +79,7 @@
         self._fleet_tally = CountTally()
         # When each expected node was last known to be alive.
         self._expected_since_ms: dict[str, float] = {}
-        self._fleet_state: tuple[float, _CombinedState] | None = None
+        self._fleet_state: tuple[float, CombinedState] | None = None
 
     @property
     def has_reporting_nodes(self) -> bool:
@@ -278,25 +264,25 @@
             if relay.heard_ms >= cutoff_ms
         )
 
-    def _combine_fleet(self) -> _CombinedState:
+    def _combine_fleet(self) -> CombinedState:
         cached = self._fleet_state
         time_ms = loop_ms()
         if cached is not None and time_ms - cached[0] < _CACHE_MAX_AGE_MS:
             return cached[1]
         oldest_ms = time_ms - _REPORT_MAX_AGE_MS
-        parts: list[_CombinedState | DomainDigest] = [self._combine_nodes()]
+        parts: list[CombinedState | DomainDigest] = [self._combine_nodes()]
         parts.extend(
             relay.digest
             for relay in self._relays.values()
             if relay.heard_ms >= oldest_ms
         )
         state = dataclasses.replace(
-            _merge_states(parts), heard_count=self._count_heard_nodes()
+            merge_states(parts), heard_count=self._count_heard_nodes()
         )
         self._fleet_state = (time_ms, state)
         return state
 
-    def _combine_nodes(self) -> _CombinedState:
+    def _combine_nodes(self) -> CombinedState:
         """Combine the reports of the nodes that report to this relay."""
         time_ms = loop_ms()
         reports = [
@@ -310,23 +296,10 @@
             for vm, state in self._nodes.items()
             if state.heard_ms < silent_cutoff_ms
         )
-        return _CombinedState(
-            heard_count=len(self._nodes) - len(silent_vms),
-            plan_version=max(
-                (report.plan_version for report in reports), default=0
-            ),
-            sheddings=_sum_sheddings(
-                _report_shedding(report) for report in reports
-            ),
-            fan_outs=_sum_fan_outs(
-                fan_out for report in reports for fan_out in report.fan_outs
-            ),
-            busy_targets=tuple(
-                TargetLoad(report.member.vm, report.load)
-                for report in reports
-                if report.load >= _MIN_REPORTED_LOAD
-            ),
-            silent_vms=silent_vms,
+        return combine_reports(
+            reports,
+            silent_vms,
+            heard_count=(len(self._nodes) - len(silent_vms)),
         )
 
 
@@ -337,57 +310,3 @@
     of its domain: these are two sources.
     """
     return f'relay {vm}'
-
-
-def _merge_states(
-    parts: Iterable[_CombinedState | DomainDigest],
-) -> _CombinedState:
-    parts = tuple(parts)
-    return _CombinedState(
-        heard_count=sum(part.heard_count for part in parts),
-        plan_version=max(part.plan_version for part in parts),
-        sheddings=_sum_sheddings(
-            shedding for part in parts for shedding in part.sheddings
-        ),
-        fan_outs=_sum_fan_outs(
-            fan_out for part in parts for fan_out in part.fan_outs
-        ),
-        busy_targets=tuple(
-            target for part in parts for target in part.busy_targets
-        ),
-        silent_vms=tuple(vm for part in parts for vm in part.silent_vms),
-    )
-
-
-def _report_shedding(report: NodeReport) -> ServiceShedding:
-    slots = report.member.target_slots
-    return ServiceShedding(
-        report.member.service, slots, slots * report.shed_fraction
-    )
-
-
-def _sum_sheddings(
-    sheddings: Iterable[ServiceShedding],
-) -> tuple[ServiceShedding, ...]:
-    slots: dict[str, int] = collections.defaultdict(int)
-    shed_slots: dict[str, float] = collections.defaultdict(float)
-    for shedding in sheddings:
-        if shedding.service and shedding.slots:
-            slots[shedding.service] += shedding.slots
-            shed_slots[shedding.service] += shedding.shed_slots
-    return tuple(
-        ServiceShedding(service, slots[service], shed_slots[service])
-        for service in slots
-    )
-
-
-def _sum_fan_outs(fan_outs: Iterable[FanOutSum]) -> tuple[FanOutSum, ...]:
-    calls: dict[tuple[str, str], float] = collections.defaultdict(float)
-    nodes: dict[tuple[str, str], int] = collections.defaultdict(int)
-    for fan_out in fan_outs:
-        routes = (fan_out.route, fan_out.called_route)
-        calls[routes] += fan_out.calls
-        nodes[routes] += fan_out.nodes
-    return tuple(
-        FanOutSum(*routes, calls[routes], nodes[routes]) for routes in calls
-    )
--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -18,11 +18,8 @@
 
 from chivelead_protocol import CountReport, RequestCounts, loop_ms
 
-from chivelead_coordination._internal.quota_bucket import (
-    FleetRate,
-    FleetSize,
-    QuotaBucket,
-)
+from chivelead_coordination._internal.quota_bucket import QuotaBucket
+from chivelead_coordination._internal.quota_usage import FleetRate, FleetSize
 
 # Fraction of the burst in the bucket after a restart.  If all nodes restart at
 # once, this much is granted twice, which is within the tenth that the bound
--- a/packages/coordination/src/chivelead_coordination/_internal/quota_bucket.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/quota_bucket.py
@@ -1,32 +1,30 @@
 """Local copy of a fleet-wide token bucket, and the allocation of its tokens."""
 
 import collections
-import dataclasses
 import math
 
 from chivelead_protocol import RequestCounts, loop_ms
 
+from chivelead_coordination._internal.quota_usage import (
+    MIN_DEMAND_PER_S,
+    FleetRate,
+    FleetSize,
+    FleetUsage,
+    LocalUsage,
+)
+
 _MS_PER_S = 1000
 # Time between two allocations; about the interval of digests.
 _INTERVAL_MS = 500.0
-# Windows over which the use of a quota is judged.
-_WINDOW_S = 5.0
 _INTERVALS_PER_WINDOW = 10
-# Part of the burst that may be used steadily; the rest makes up for what is
-# admitted before digests show it.
-_SUSTAINED_BURST_FRACTION = 0.5
 # Age of the counts in a digest: they pass from a node through two relays.
 _DIGEST_LAG_INTERVALS = 3
 # Time constant of the average of a demand.  Local demand is averaged like that
 # of the others: a node that saw its own surge before theirs would take too
 # much.
 _DEMAND_TIME_CONSTANT_MS = 1500.0
-# Smaller changes of a demand are treated as random variation.
-_DEMAND_NOISE_PER_S = 0.5
 # One request per interval, which is not a surge.
 _ONE_PER_INTERVAL_PER_S = 2.0
-# Demand assumed for an idle node, so that its first requests are admitted.
-_MIN_DEMAND_PER_S = 0.2
 # Random arrivals can exceed a node's allocation, so in one interval all nodes
 # together may admit this multiple of the tokens in the bucket, plus this number
 # of requests.  The level is lower in the next interval, so the bound over 5 s
@@ -43,116 +41,6 @@
 _MAX_RETRY_MS = 2000.0
 
 
-@dataclasses.dataclass(frozen=True)
-class FleetRate:
-    """Rate and burst of an organisation, for the whole fleet together."""
-
-    rate_per_s: float
-    burst_requests: float
-
-    @property
-    def refill_per_s(self) -> float:
-        """Return the sustained rate.
-
-        In each window, one burst is due besides the rate.
-        """
-        return self.rate_per_s + (
-            self.burst_requests * _SUSTAINED_BURST_FRACTION / _WINDOW_S
-        )
-
-    @property
-    def per_window(self) -> float:
-        """Return the number of requests that are due in any window."""
-        return self.rate_per_s * _WINDOW_S + self.burst_requests
-
-
-@dataclasses.dataclass
-class _FleetUsage:
-    """Reported and estimated use of one bucket by all other nodes together.
-
-    Attributes:
-        reported_ms: Time of the last digest.
-        requested: Requests that they have received, by the last digest.
-        admitted: Requests that they have admitted, by the last digest.
-        has_reported: Whether there has been a digest.
-        requested_per_s: Average demand at the other nodes.
-        estimated_admitted: Estimate of the requests that they have admitted
-            since the last digest.
-        estimated_admitted_per_s: Rate at which that estimate grows.
-        estimated_until_ms: Time up to which it has been computed.
-    """
-
-    estimated_until_ms: float
-    reported_ms: float = -math.inf
-    requested: int = 0
-    admitted: int = 0
-    has_reported: bool = False
-    requested_per_s: float = 0
-    estimated_admitted: float = 0
-    estimated_admitted_per_s: float = 0
-
-    def extrapolate(self, time_ms: float) -> None:
-        """Advance the estimate of admitted requests to the given time."""
-        elapsed_s = (time_ms - self.estimated_until_ms) / _MS_PER_S
-        self.estimated_admitted += self.estimated_admitted_per_s * elapsed_s
-        self.estimated_until_ms = time_ms
-
-    def demand_per_s(
-        self, local_per_s: float, earlier_local_per_s: float, node_count: int
-    ) -> float:
-        """Return the demand at the other nodes.
-
-        If local demand has grown since their requests were counted, theirs may
-        have grown by the same factor.
-
-        Args:
-            local_per_s: Present demand at this node.
-            earlier_local_per_s: Demand at this node when they were counted.
-            node_count: Number of the other nodes.
-        """
-        if not self.has_reported:
-            return max(_MIN_DEMAND_PER_S, local_per_s) * node_count
-        earlier_per_s = max(_MIN_DEMAND_PER_S, earlier_local_per_s)
-        growth = (local_per_s + _DEMAND_NOISE_PER_S) / (
-            earlier_per_s + _DEMAND_NOISE_PER_S
-        )
-        return self.requested_per_s * max(1.0, growth)
-
-
-@dataclasses.dataclass
-class FleetSize:
-    """Nodes that share the buckets.
-
-    Attributes:
-        node_count: All nodes, including this one.
-        heard_count: Those of which the relays have heard in time.
-    """
-
-    node_count: int = 1
-    heard_count: int = 1
-
-    @property
-    def heard_fraction(self) -> float:
-        """Return the fraction of the nodes that are heard from."""
-        return min(1.0, self.heard_count / self.node_count)
-
-
-@dataclasses.dataclass
-class _LocalUsage:
-    """Use of one bucket by this node, in total and in this interval.
-
-    Attributes:
-        interval_allowance: Requests that may be admitted in this interval.
-    """
-
-    requested: int = 0
-    admitted: int = 0
-    requested_per_s: float = 0
-    interval_requested: int = 0
-    interval_admitted: int = 0
-    interval_allowance: float = 1
-
-
 class QuotaBucket:
     """Local copy of the token bucket of one organisation.
 
@@ -171,7 +59,7 @@
         """Create a bucket that nobody has used."""
         self.rate = rate
         self.level = rate.burst_requests * burst_fraction
-        self.local = _LocalUsage()
+        self.local = LocalUsage()
         # Requests that the fleet is known or assumed to have admitted, and the
         # same number at the start of each interval of the window.
         self._charged = (1 - burst_fraction) * rate.burst_requests
@@ -179,7 +67,7 @@
             [0.0], maxlen=_INTERVALS_PER_WINDOW
         )
         self._fleet = fleet
-        self._others = _FleetUsage(loop_ms())
+        self._others = FleetUsage(loop_ms())
         # Rate at which all other nodes are assumed to use the bucket.
         self._others_admitted_per_s = 0.0
         # Local demand at the start of the last intervals, the newest last.
@@ -294,7 +182,7 @@
             1.0, max(0.0, local.interval_allowance - local.interval_admitted)
         )
         local.interval_admitted = 0
-        demand = max(_MIN_DEMAND_PER_S, local.requested_per_s)
+        demand = max(MIN_DEMAND_PER_S, local.requested_per_s)
         allocation = self._allocate(demand, max(1.0, surge_factor), time_ms)
         allowance = max(allocation, self._headroom(time_ms)) + unused
         if self._is_calm(time_ms):
@@ -329,7 +217,7 @@
         history.append(local_demand)
         # Idle nodes count as well: a surge may begin at all nodes at once.
         total_demand = local_demand + max(
-            others_demand, _MIN_DEMAND_PER_S * node_count
+            others_demand, MIN_DEMAND_PER_S * node_count
         )
         accrued = self.rate.refill_per_s * _INTERVAL_MS / _MS_PER_S
         available = max(0.0, self._room()) + accrued
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import random
+from collections.abc import Coroutine
+from typing import Any
 
 from chivelead_coordination import (
     FleetQuota,
@@ -88,21 +90,15 @@
         self._relay_vm = ''
         self._table_mismatches = 0
         self._report_lock = asyncio.Lock()
-        self._periodic_tasks: list[asyncio.Task[None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start reporting."""
-        self._periodic_tasks = [
-            asyncio.create_task(self._report_forever()),
-        ]
+        self._spawn(self._report_forever())
 
     async def close(self) -> None:
         """Stop reporting."""
-        for task in (
-            *self._periodic_tasks,
-            *self._tasks,
-        ):
+        for task in tuple(self._tasks):
             task.cancel()
 
     async def leave(self) -> None:
@@ -131,8 +127,8 @@
         async with self._report_lock:
             return await self._report_to(vm)
 
-    def _spawn(self, coroutine: object) -> None:
-        task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
