Share the quotas cautiously until relays that all restart know each other

Each failure domain at first knows only itself and took the whole rate. Ruled out: the burst after a restart (a tenth, as before); the steady refill of half a burst (the case is also over the bound with the sum held to the window). Change: a digest says whether its relay has run for 3 s; until then a node that has restarted assumes eight failure domains.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
@@ -32,6 +32,8 @@
 _REPORT_MAX_AGE_MS = 3000.0
 # Only then is a silent node checked, and perhaps taken for dead.
 _OVERDUE_AFTER_MS = 3000.0
+# After a start of the whole fleet, relays have found each other by then.
+_SETTLING_MS = 3000.0
 # The digest of a relay that was replaced is dropped after this time.
 _REPLACED_RELAY_MS = 4000.0
 # The combined state is the same for all nodes that report within this time.
@@ -77,6 +79,7 @@
         self._relays: dict[str, _RelayState] = {}
         self._domain_tally = CountTally()
         self._fleet_tally = CountTally()
+        self._started_ms = loop_ms()
         # When each expected node was last known to be alive.
         self._expected_since_ms: dict[str, float] = {}
         self._fleet_state: tuple[float, CombinedState] | None = None
@@ -130,6 +133,7 @@
             table_digest=self._membership.digest,
             plan_version=state.plan_version,
             heard_count=state.heard_count,
+            is_settled=loop_ms() - self._started_ms > _SETTLING_MS,
             is_counted=self._fleet_tally.is_known(vm, report.member.boot_id),
             counts=self._fleet_tally.report(
                 vm,
--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_quota.py
@@ -30,8 +30,10 @@
 # Counters that changed within this time are part of each report, so that
 # several reports may be lost.
 _RECENT_MS = 3000.0
-# Nodes that are assumed to share the rates until a restarted node knows.
+# Nodes, and failure domains, that are assumed to share the rates until a
+# restarted node knows.
 _UNKNOWN_NODE_COUNT = 16
+_UNKNOWN_DOMAIN_COUNT = 8
 
 
 class FleetQuota:
@@ -49,6 +51,7 @@
         self._fleet = FleetSize(
             node_count=1 if first_start else _UNKNOWN_NODE_COUNT
         )
+        self._is_restarted = not first_start
         self._relay_boot_id = ''
         self._needs_rebase = False
         self._settled_ms = 0.0
@@ -117,6 +120,7 @@
         *,
         node_count: int,
         heard_count: int,
+        is_settled: bool = True,
     ) -> None:
         """Apply what a relay tells of all other nodes.
 
@@ -129,6 +133,7 @@
             report: Counts of the other nodes together.
             node_count: Nodes of the fleet.
             heard_count: Those of which the relays have heard in time.
+            is_settled: Whether the relay can know the other failure domains.
         """
         if relay_boot_id != self._relay_boot_id:
             if not report.is_full:
@@ -136,6 +141,9 @@
             self._change_relay(relay_boot_id)
         if loop_ms() < self._settled_ms:
             return
+        if self._is_restarted and not is_settled:
+            # The other failure domains restart too, and each knows only itself.
+            node_count = max(node_count, heard_count * _UNKNOWN_DOMAIN_COUNT)
         self._fleet.node_count = max(1, node_count)
         self._fleet.heard_count = max(1, heard_count)
         counts_by_name = {
--- a/packages/coordination/tests/unit/test_fleet_aggregate.py
+++ b/packages/coordination/tests/unit/test_fleet_aggregate.py
@@ -271,7 +271,7 @@
     assert not relays_of(nodes)[0].membership.find(stopping.vm).alive
 
 
-def test_ranking_is_the_same_for_all_nodes():
+async def test_ranking_is_the_same_for_all_nodes():
     nodes = make_fleet(12)
     rankings = {tuple(node.ranking.ranked('z5')) for node in nodes.values()}
     assert len(rankings) == 1
--- a/packages/coordination/tests/unit/test_fleet_quota.py
+++ b/packages/coordination/tests/unit/test_fleet_quota.py
@@ -93,11 +93,17 @@
 
 
 async def test_restart_of_all_nodes_gives_no_second_burst():
-    """Nodes that restart with full buckets would admit the burst again."""
+    """Nodes that restart with full buckets would admit the burst again.
+
+    Pattern: all nodes are killed while one organisation sends many times its
+    rate.  Each failure domain first knows itself only.
+    """
     fleet = QuotaFleet(100, 100)
     await fleet.start()
     await fleet.offer(4, 400, random_node)
     fleet.restart_all()
+    await fleet.offer(1.5, 400, random_node)
+    fleet.introduce_all()
     await fleet.offer(4, 400, random_node)
     await fleet.close()
     assert fleet.max_excess() <= 0
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -212,6 +212,7 @@
             digest.counts,
             node_count=self._membership.count_alive_within(_PARTITION_MS),
             heard_count=digest.heard_count,
+            is_settled=digest.is_settled,
         )
         self._overload.apply_digest(digest)
         for target in digest.busy_targets:
--- a/packages/protocol/src/chivelead_protocol/_internal/fleet_messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/fleet_messages.py
@@ -133,6 +133,8 @@
         plan_version: Version of the traffic plan in force at the relay.
         heard_count: Nodes whose reports the relay received in time, directly
             or through relays of other failure domains.
+        is_settled: Whether the relay has run long enough to have heard of the
+            other failure domains.
         is_counted: Whether the relay has the counters of the receiver;
             otherwise it needs a full report.
         counts: Counters over all nodes but the receiver, since the relay
@@ -148,6 +150,7 @@
     table_digest: int
     plan_version: int
     heard_count: int
+    is_settled: bool
     is_counted: bool
     counts: CountReport
     sheddings: tuple[ServiceShedding, ...]
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -80,6 +80,7 @@
             digest.counts,
             node_count=self.membership.count_alive_within(30_000),
             heard_count=digest.heard_count,
+            is_settled=digest.is_settled,
         )
 
 
@@ -96,6 +97,7 @@
         self.boot_number = 1
         self.nodes = {}
         self._create_nodes(first_start=True)
+        self.introduce_all()
         self.isolated = set()
         self.dead = set()
         self.admitted = []
@@ -133,10 +135,19 @@
         return offered
 
     def restart_all(self):
-        """Replace all nodes by new ones, which know no earlier reports."""
+        """Replace all nodes by new ones, which know no earlier reports.
+
+        At first they know only the nodes of their own failure domain.
+        """
         self.boot_number += 1
         self._create_nodes(first_start=False)
 
+    def introduce_all(self):
+        """Let all nodes know each other."""
+        members = [node.membership.own for node in self.nodes.values()]
+        for node in self.nodes.values():
+            node.membership.merge(members)
+
     def remove(self, vm):
         """Let all other nodes know that a node is gone."""
         for node in self.nodes.values():
@@ -169,9 +180,13 @@
             )
             for vm in map('node-{0}'.format, range(NODE_COUNT))
         }
-        members = [node.membership.own for node in self.nodes.values()]
         for node in self.nodes.values():
-            node.membership.merge(members)
+            own_domain = node.membership.own.failure_domain
+            node.membership.merge(
+                peer.membership.own
+                for peer in self.nodes.values()
+                if peer.membership.own.failure_domain == own_domain
+            )
 
     async def _report_forever(self, vm):
         while True:
@@ -216,7 +231,10 @@
 
     async def _exchange(self, vm, domain):
         node = self.nodes[vm]
-        peer_vm = node.ranking.candidates(f'z{domain}')[0]
+        candidates = node.ranking.candidates(f'z{domain}')
+        if not candidates:
+            return
+        peer_vm = candidates[0]
         interval_s = (
             REPORT_INTERVAL_S
             if region_of(vm) == region_of(peer_vm)
