--- a/packages/coordination/tests/unit/test_fleet_quota.py
+++ b/packages/coordination/tests/unit/test_fleet_quota.py
@@ -20,7 +20,7 @@
     assert len(fleet.refused) <= offered * MAX_REFUSED_FRACTION_UNDER_FAULT
 
 
-@pytest.mark.parametrize('rate_per_s', [40, 160])
+@pytest.mark.parametrize('rate_per_s', [2, 10, 40, 160])
 async def test_demand_at_the_rate_gets_what_is_due(rate_per_s):
     """Pattern: a burst in which organisations use all of their rate.
 
