Log what targets say of themselves, and which VMs a request went to

Nodes now read both headers, log each change (target-notice at the node beside the target, peer-notice at the others), carry the last notice with replies and calls, and request-ended lists the VMs.

No decision depends on it yet.

--- a/packages/config/src/chivelead_config/_internal/adapter_types.py
+++ b/packages/config/src/chivelead_config/_internal/adapter_types.py
@@ -23,6 +23,9 @@
         target_id: ID of the target that responds.
         target_load: Running requests, waiting requests and slots of a
             target, separated by commas.
+        target_rate_limit: Requests a second that a target takes from all nodes
+            together.
+        target_leaving: Present if the target is about to shut down.
         not_run: Present if the target has not run the request.
         response_stamp: Present if the target itself produced the response.
         key_scheme: Authorization header scheme for keys.
@@ -35,6 +38,8 @@
     expected_target: str
     target_id: str
     target_load: str
+    target_rate_limit: str
+    target_leaving: str
     not_run: str
     response_stamp: str
     key_scheme: str
--- a/packages/node/src/chivelead_node/_internal/calls.py
+++ b/packages/node/src/chivelead_node/_internal/calls.py
@@ -42,6 +42,7 @@
         deadline_ms: Event loop time at which the caller gives up.
         queue_limit_ms: Maximum wait for admission; zero if only the deadline
             limits it.
+        attempted_vms: VMs that the call was sent to, in order.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     deadline_ms: float
     allowance: RetryAllowance
     queue_limit_ms: float = 0
+    attempted_vms: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -14,6 +14,7 @@
 from chivelead_protocol import (
     CallReply,
     CallRequest,
+    Headers,
     Outcome,
     TargetState,
     loop_ms,
@@ -23,6 +24,10 @@
 from chivelead_node._internal.dialects import TargetDialect
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.metrics import CallMetrics
+from chivelead_node._internal.target_notices import (
+    OwnTargetNotices,
+    SignalRecorder,
+)
 from chivelead_node._internal.targets import (
     LocalTarget,
     TargetFailedError,
@@ -81,9 +86,10 @@
         metrics: Counters and timings.
         dialect: Header conventions of the target.
         observer: Receives admission results; optional.
+        notices: What the target says about the work that it takes; optional.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         target: LocalTarget,
         admission: Admission,
@@ -91,6 +97,7 @@
         metrics: CallMetrics,
         dialect: TargetDialect,
         observer: AdmissionObserver | None = None,
+        notices: OwnTargetNotices | None = None,
     ) -> None:
         """Create a handler with no calls running."""
         self.draining = False
@@ -101,6 +108,7 @@
         self._metrics = metrics
         self._dialect = dialect
         self._observer = observer or AdmissionObserver()
+        self._notices = notices or OwnTargetNotices()
         self._running_by_token: dict[str, calls.RunningRequest] = {}
         self._tasks_by_attempt: dict[str, asyncio.Task[Any]] = {}
         self._started_attempts: dict[str, None] = {}
@@ -164,6 +172,8 @@
         self._uncancellable_attempts.discard(attempt_id)
 
     async def _run(self, request: CallRequest) -> CallReply:
+        if request.notice is not None:
+            self._notices.apply_peer_notice(request.notice)
         allowance = calls.RetryAllowance(request.retry_allowance)
         arrived_ms = loop_ms()
         deadline_ms = arrived_ms + request.timeout_ms
@@ -282,9 +292,26 @@
             request.path,
             request.headers + dialect_headers,
             request.body,
-            functools.partial(self._dialect.is_response_to, request),
+            functools.partial(
+                self._accept_response,
+                request,
+                self._notices.response_recorder(),
+            ),
         )
 
+    def _accept_response(
+        self,
+        request: CallRequest,
+        record_signals: SignalRecorder,
+        status: int,
+        headers: Headers,
+    ) -> bool:
+        """Return whether a response belongs to a request; record its head."""
+        is_match = self._dialect.is_response_to(request, status, headers)
+        if is_match:
+            record_signals(status, headers)
+        return is_match
+
     def _record_end(
         self,
         request: CallRequest,
@@ -319,6 +346,7 @@
             queue_ms=admission_load.queue_ms,
             load=admission_load.load,
             downstream_shed_level=float(allowance.max_downstream_level),
+            notice=self._notices.current(),
         )
 
 
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 from typing import Any
 
 from chivelead_coordination import Membership, distance_tier
@@ -31,6 +31,7 @@
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.target_estimates import TargetEstimates
+from chivelead_node._internal.target_notices import PeerTargetNotices
 
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -80,6 +81,7 @@
         self._events = events
         self._estimates = estimates
         self._outliers = OutlierDetector()
+        self._notices = PeerTargetNotices(events)
         self._in_flight: dict[str, int] = {}
         self._draining_until_ms: dict[str, float] = {}
         self._attempt_numbers = itertools.count(1)
@@ -87,17 +89,16 @@
 
     async def run(self, call: calls.Call) -> CallReply:
         """Run a call, retry it as the policy allows, and return the reply."""
-        tried: set[str] = set()
         self._retries.record_request(call.service)
         last_reply: CallReply | None = None
         may_have_run = False
         for retries_done in itertools.count():
             try:
-                vm = self._choose_vm(call, tried)
+                vm = self._choose_vm(call, call.attempted_vms)
             except calls.RefusedCallError as error:
                 reply = last_reply or calls.refusal_reply(error.refusal)
                 return _with_uncertain_outcome(reply, may_have_run=may_have_run)
-            tried.add(vm)
+            call.attempted_vms.append(vm)
             reply = await self._attempt(call, vm)
             if not _is_failure(reply):
                 self._retries.record_success(call.service)
@@ -129,7 +130,7 @@
             last_reply = reply
         raise AssertionError('unreachable')
 
-    def _choose_vm(self, call: calls.Call, tried: set[str]) -> str:
+    def _choose_vm(self, call: calls.Call, tried: Collection[str]) -> str:
         members = self._available_members(call.service, tried)
         if not members:
             raise calls.refusal_error(
@@ -159,7 +160,9 @@
         ]
         return self._router.choose(candidates).vm
 
-    def _available_members(self, service: str, tried: set[str]) -> list[Member]:
+    def _available_members(
+        self, service: str, tried: Collection[str]
+    ) -> list[Member]:
         """Return some members to choose from, or all if those are unusable."""
         tiers = self._membership.ready_by_distance(service)
         sampled = self._without_unavailable(
@@ -179,7 +182,7 @@
         return self._random.sample(members, _MAX_CANDIDATES_PER_TIER)
 
     def _without_unavailable(
-        self, members: Iterable[Member], tried: set[str]
+        self, members: Iterable[Member], tried: Collection[str]
     ) -> list[Member]:
         time_ms = loop_ms()
         return [
@@ -210,7 +213,7 @@
     async def _attempt(self, call: calls.Call, vm: str) -> CallReply:
         forwarded = self._retries.forwarded_allowance(call.allowance.remaining)
         call.allowance.remaining -= forwarded
-        request = self._build_request(call, forwarded)
+        request = self._build_request(call, vm, forwarded)
         self._in_flight[vm] = self._in_flight.get(vm, 0) + 1
         self._events.record_call_event(
             'attempt',
@@ -232,7 +235,9 @@
         call.allowance.remaining += min(forwarded, reply.retry_allowance)
         return reply
 
-    def _build_request(self, call: calls.Call, forwarded: int) -> CallRequest:
+    def _build_request(
+        self, call: calls.Call, vm: str, forwarded: int
+    ) -> CallRequest:
         own = self._membership.own
         return CallRequest(
             request_id=call.request_id,
@@ -249,6 +254,7 @@
             timeout_ms=call.deadline_ms - loop_ms(),
             retry_allowance=forwarded,
             queue_limit_ms=call.queue_limit_ms,
+            notice=self._notices.find(vm),
         )
 
     async def _send_attempt(self, vm: str, request: CallRequest) -> CallReply:
@@ -309,6 +315,7 @@
     ) -> None:
         if reply.reason in {'unreachable', 'link-lost', 'timeout'}:
             return
+        self._notices.record_reply(vm, reply)
         self._estimates.record_reply(vm, reply, elapsed_ms)
         self._estimates.record_downstream_level(
             call.service,
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -44,6 +44,9 @@
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
 from chivelead_node._internal.proxy.overload import FleetOverload
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
+from chivelead_node._internal.proxy.own_target_notices import (
+    PlatformTargetNotices,
+)
 from chivelead_node._internal.proxy.probe import TargetProber
 from chivelead_node._internal.proxy.registration import TargetRegistration
 from chivelead_node._internal.proxy.target_health import (
@@ -147,6 +150,7 @@
     )
     overload = FleetOverload()
     call_monitor = TargetCallMonitor(overload)
+    notices = PlatformTargetNotices(HEADERS, registration, events)
     inbound = InboundCalls(
         target,
         admission,
@@ -154,6 +158,7 @@
         metrics,
         PlatformDialect(HEADERS, registration),
         call_monitor,
+        notices,
     )
     estimates = RoutingEstimates(random.getrandbits(_SEED_BITS))
     outbound = OutboundCalls(
@@ -206,6 +211,7 @@
         plan_feed,
         registration,
         publisher,
+        notices,
         events,
     )
     return ProxyComponents(
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -177,6 +177,7 @@
             reply.reason or 'answered',
             status=response.status,
             service=call.service,
+            vms=','.join(call.attempted_vms),
             organisation=call.organisation,
             importance=call.importance,
             left_ms=round(call.deadline_ms - loop_ms()),
--- a/packages/node/src/chivelead_node/_internal/proxy/probe.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/probe.py
@@ -8,6 +8,9 @@
 from chivelead_protocol import TargetState
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.own_target_notices import (
+    PlatformTargetNotices,
+)
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 from chivelead_node._internal.proxy.registration import TargetRegistration
 from chivelead_node._internal.proxy.target_state import TargetStatePublisher
@@ -33,6 +36,7 @@
         plan_feed: Traffic plan, which contains the health path.
         registration: Tells whether an announcement has arrived.
         publisher: Receives an announcement made from a probe response.
+        notices: Receives what the target says in the response.
         events: Event log.
     """
 
@@ -44,6 +48,7 @@
         plan_feed: PlanFeed,
         registration: TargetRegistration,
         publisher: TargetStatePublisher,
+        notices: PlatformTargetNotices,
         events: EventLog,
     ) -> None:
         """Create a prober; no probe is sent yet."""
@@ -53,6 +58,7 @@
         self._plan_feed = plan_feed
         self._registration = registration
         self._publisher = publisher
+        self._notices = notices
         self._events = events
 
     async def run(self) -> None:
@@ -104,6 +110,7 @@
             await self._publisher.apply_announcement(
                 self._build_announcement(target_id, int(slots))
             )
+        self._notices.record_probe(target_id, tuple(headers.items()))
 
     async def _request_health(
         self,
--- a/packages/node/src/chivelead_node/_internal/proxy/registration.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/registration.py
@@ -1,5 +1,8 @@
 """State of the target on this VM, as derived from its announcements."""
 
+import dataclasses
+from collections.abc import Callable
+
 from chivelead_config import TargetAnnouncement
 from chivelead_policy import Admission
 from chivelead_protocol import TargetState, now_ms
@@ -11,6 +14,27 @@
 _MAX_MISSED_ANNOUNCEMENTS = 4
 
 
+@dataclasses.dataclass(frozen=True)
+class TargetIdentity:
+    """One start of a target.
+
+    Attributes:
+        target_id: ID of the target; may stay the same over a restart.
+        started_ms: Unix time of the start; zero if it is unknown, as for a
+            target that was found by a probe.
+    """
+
+    target_id: str
+    started_ms: int
+
+    def matches(self, other: 'TargetIdentity') -> bool:
+        """Return whether both may be the same start of the same target."""
+        if self.target_id != other.target_id:
+            return False
+        is_unknown = not self.started_ms or not other.started_ms
+        return is_unknown or self.started_ms == other.started_ms
+
+
 class TargetRegistration:
     """Keep the newest announcement of the target and derive its state.
 
@@ -39,6 +63,15 @@
         self._events = events
         self._announcement_period_ms = announcement_period_ms
         self._leaving_ids: set[str] = set()
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def identity(self) -> TargetIdentity:
+        """Return the identity of the target; empty if none is known."""
+        announcement = self.latest_announcement
+        if announcement is None:
+            return TargetIdentity('', 0)
+        return TargetIdentity(announcement.target_id, announcement.started_ms)
 
     @property
     def target_id(self) -> str:
@@ -64,6 +97,10 @@
             return TargetState.draining
         return self.latest_announcement.state
 
+    def listen(self, on_change: Callable[[], None]) -> None:
+        """Add a listener for the arrival and the departure of a target."""
+        self._listeners.append(on_change)
+
     async def apply_announcement(
         self, announcement: TargetAnnouncement, connections: int
     ) -> bool:
@@ -123,6 +160,8 @@
                 sequence=announcement.sequence,
                 slots=announcement.slots,
             )
+        if is_new_instance:
+            self._notify_listeners()
         return True
 
     def mark_leaving(self, target_id: str) -> None:
@@ -132,6 +171,11 @@
         announcement = self._target.announcement
         if announcement is not None and self.target_id == target_id:
             self._target.mark_draining()
+        self._notify_listeners()
+
+    def _notify_listeners(self) -> None:
+        for on_change in self._listeners:
+            on_change()
 
 
 def _sort_key(announcement: TargetAnnouncement) -> tuple[int, int]:
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -150,6 +150,9 @@
 from chivelead_protocol._internal.messages import (
     Pong as Pong,
 )
+from chivelead_protocol._internal.messages import (
+    TargetNotice as TargetNotice,
+)
 from chivelead_protocol._internal.messages import (
     TargetState as TargetState,
 )
--- a/packages/protocol/src/chivelead_protocol/_internal/messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/messages.py
@@ -71,6 +71,24 @@
     """Reply without data: the request was accepted."""
 
 
+@dataclasses.dataclass(frozen=True)
+class TargetNotice:
+    """What a target last said in its responses about the work that it takes.
+
+    Attributes:
+        target_id: ID of the target; may stay the same over a restart.
+        started_ms: Unix time at which the target started; zero if unknown.
+        rate_limit_per_s: Requests a second that it takes from all nodes
+            together; None if it names no limit.
+        is_leaving: Whether it is about to shut down.
+    """
+
+    target_id: str
+    started_ms: int
+    rate_limit_per_s: float | None
+    is_leaving: bool
+
+
 @message(10)
 @dataclasses.dataclass(frozen=True)
 class CallRequest:
@@ -86,6 +104,8 @@
         retry_allowance: Number of retries granted to downstream calls.
         queue_limit_ms: Longest wait for admission; zero if only the deadline
             limits it.
+        notice: What the target on the receiving VM last said, as far as the
+            sender knows; the receiver may have restarted since.
     """
 
     request_id: str
@@ -102,6 +122,7 @@
     timeout_ms: float
     retry_allowance: int
     queue_limit_ms: float
+    notice: TargetNotice | None = None
 
 
 @message(11)
@@ -119,6 +140,8 @@
         queue_ms: Current wait for admission.
         load: Requests running and waiting, divided by the concurrency limit.
         downstream_shed_level: Highest shed level met by downstream calls.
+        notice: What the target says about the work that it takes; None if it
+            says nothing.
     """
 
     status: int
@@ -131,6 +154,7 @@
     queue_ms: float
     load: float
     downstream_shed_level: float
+    notice: TargetNotice | None = None
 
 
 @message(12)
