Do not take the time of a refusal for the latency of a target

Cause: each reply updated the latency of a target, also a refusal by its node, which comes within a millisecond. Targets that refuse thus looked quick, and the router leaves out targets that are much slower than the quickest: the one with room. Each refused request lists the three limited targets and never the fourth. Ruled out: its node was not silent, failing or overloaded (no such line).

Only responses of targets change the latency now.

--- a/packages/node/src/chivelead_node/_internal/target_estimates.py
+++ b/packages/node/src/chivelead_node/_internal/target_estimates.py
@@ -46,21 +46,26 @@
     def record_reply(
         self, vm: str, reply: CallReply, elapsed_ms: float
     ) -> None:
-        """Update the estimates of a target from a reply."""
-        previous = self._targets.get(vm)
-        latency_ms = elapsed_ms
-        if previous is not None:
-            difference_ms = elapsed_ms - previous.latency_ms
-            latency_ms = (
-                previous.latency_ms + difference_ms * _LATENCY_EWMA_WEIGHT
-            )
-        self._targets[vm] = _TargetEstimate(
-            loop_ms(),
-            reply.shed_level,
-            reply.load,
-            latency_ms,
-            loop_ms(),
+        """Update the estimates of a target from a reply.
+
+        A refusal says nothing about the latency: it comes faster than any
+        response of the target.
+        """
+        estimate = self._targets.setdefault(
+            vm, _TargetEstimate(loop_ms(), 0, 0, 0, 0)
         )
+        estimate.updated_ms = loop_ms()
+        estimate.shed_level = reply.shed_level
+        estimate.load = reply.load
+        if reply.reason:
+            return
+        if estimate.latency_updated_ms:
+            elapsed_ms = (
+                estimate.latency_ms
+                + (elapsed_ms - estimate.latency_ms) * _LATENCY_EWMA_WEIGHT
+            )
+        estimate.latency_ms = elapsed_ms
+        estimate.latency_updated_ms = loop_ms()
 
     def record_load(self, vm: str, load: float) -> None:
         """Update the load of a target from a report outside of calls."""
