--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -64,8 +64,8 @@
     def admitted(self, request: CallRequest) -> None:
         """Handle a call that was admitted to the target."""
 
-    def refused(self, request: CallRequest) -> None:
-        """Handle a call that admission refused; not called while draining."""
+    def refused(self, request: CallRequest, reason: RefusalReason) -> None:
+        """Handle a call that was refused before it reached the target."""
 
     def ended(self, request: CallRequest, *, answered: bool) -> None:
         """Handle the end of an admitted call.
@@ -181,8 +181,7 @@
             await self._admit(request, deadline_ms)
         except RefusedError as error:
             self._metrics.count(f'refused.{error.reason}')
-            if error.reason is not RefusalReason.draining:
-                self._observer.refused(request)
+            self._observer.refused(request, error.reason)
             self._events.record_call_event(
                 'refused',
                 request.request_id,
@@ -381,6 +380,7 @@
 def _admission_refusal(reason: RefusalReason) -> CallReply:
     details = {
         RefusalReason.overload: 'the target has no room for this request',
+        RefusalReason.target_rate: 'the target takes no more requests a second',
         RefusalReason.deadline: 'the time left does not suffice',
         RefusalReason.draining: 'the target takes no new work',
     }
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -150,7 +150,7 @@
     )
     overload = FleetOverload()
     call_monitor = TargetCallMonitor(overload)
-    notices = PlatformTargetNotices(HEADERS, registration, events)
+    notices = PlatformTargetNotices(HEADERS, registration, admission, events)
     inbound = InboundCalls(
         target,
         admission,
--- a/packages/node/src/chivelead_node/_internal/proxy/own_target_notices.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/own_target_notices.py
@@ -5,6 +5,7 @@
 import math
 
 from chivelead_config import HeaderNames
+from chivelead_policy import Admission
 from chivelead_protocol import Headers, TargetNotice
 
 from chivelead_node._internal.events import EventLog
@@ -34,6 +35,7 @@
     Args:
         header_names: Names of the headers.
         registration: Identity of the target.
+        admission: Admission control; keeps to the rate that the target takes.
         events: Event log.
     """
 
@@ -41,12 +43,14 @@
         self,
         header_names: HeaderNames,
         registration: TargetRegistration,
+        admission: Admission,
         events: EventLog,
     ) -> None:
         """Create notices of a target that has said nothing."""
         self._rate_limit_header = header_names.target_rate_limit.lower()
         self._leaving_header = header_names.target_leaving.lower()
         self._registration = registration
+        self._admission = admission
         self._events = events
         self._identity = registration.identity
         self._signals = _NO_SIGNALS
@@ -107,6 +111,7 @@
             return
         before = self.current()
         self._signals = signals
+        self._admission.update_rate_limit(signals.rate_limit_per_s)
         self._events.record_node_event(
             'target-notice',
             notice=describe_notice(self.current()),
@@ -140,5 +145,6 @@
         identity = self._registration.identity
         if not identity.matches(self._identity):
             self._signals = _NO_SIGNALS
+            self._admission.update_rate_limit(None)
             self._is_first_hand = False
         self._identity = identity
--- a/packages/node/src/chivelead_node/_internal/proxy/target_health.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/target_health.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from chivelead_policy import RefusalReason
 from chivelead_protocol import CallRequest, loop_ms
 
 from chivelead_node._internal.events import EventLog
@@ -23,6 +24,9 @@
 # calls fail, the responses to the others reset the count.
 _FAILURE_THRESHOLD = 3
 _FAILURE_WINDOW_MS = 300.0
+_REFUSALS_OF_NO_OVERLOAD = frozenset(
+    (RefusalReason.draining, RefusalReason.target_rate)
+)
 
 
 @dataclasses.dataclass
@@ -52,9 +56,14 @@
         self._overload.shed_controller.record(refused=False)
         self._started_ms[request.attempt_id] = loop_ms()
 
-    def refused(self, request: CallRequest) -> None:
-        """Record a call that was refused because of overload."""
-        self._overload.shed_controller.record(refused=True)
+    def refused(self, request: CallRequest, reason: RefusalReason) -> None:
+        """Record a call that was refused because of overload.
+
+        A target that names a rate is no sign that its service is overloaded:
+        others may have room.
+        """
+        if reason not in _REFUSALS_OF_NO_OVERLOAD:
+            self._overload.shed_controller.record(refused=True)
 
     def ended(self, request: CallRequest, *, answered: bool) -> None:
         """Record the end of a call at the target."""
--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -8,6 +8,7 @@
 from chivelead_protocol import loop_ms
 
 from chivelead_policy._internal.limits import Completion, ConcurrencyLimit
+from chivelead_policy._internal.pacing import RequestPacer
 from chivelead_policy._internal.queues import (
     ImportanceFairQueue,
     Waiter,
@@ -20,12 +21,16 @@
 _LATENCY_EWMA_WEIGHT = 0.1
 _SHED_WINDOW_MS = 400
 _IMPORTANCE_LEVELS = 10
+_MS_PER_S = 1000
+# Rounding can leave a wait that does not move the clock.
+_MIN_TIMER_MS = 1.0
 
 
 class RefusalReason(enum.StrEnum):
     """Reason why a request was refused before it reached the target."""
 
     overload = 'overload'
+    target_rate = 'target-rate'
     deadline = 'deadline'
     draining = 'draining'
 
@@ -117,11 +122,18 @@
 class Admission:
     """Admit, queue or refuse requests for one target.
 
+    Requests are limited in number by the concurrency limit, and in rate if the
+    target names one.
+
     Args:
         limit: Concurrency limit of the target.
         queue: Queue that orders the waiting requests.
         shed_late: Refuse requests that are unlikely to finish before their
             deadline.
+
+    Attributes:
+        in_flight: Requests at the target.
+        mean_latency_ms: Moving average of the latency of the target.
     """
 
     def __init__(
@@ -136,6 +148,8 @@
         self.mean_latency_ms = 0.0
         self._limit = limit
         self._queue = queue
+        self._pacer = RequestPacer()
+        self._next_token_timer: asyncio.TimerHandle | None = None
         self._shed_late = shed_late
         self._shed_estimator = _ShedLevelEstimator()
         self._latency_deviation_ms = 0.0
@@ -152,13 +166,20 @@
             self._limit.skip_slow_start()
         self._admit_waiters()
 
+    def update_rate_limit(self, rate_per_s: float | None) -> None:
+        """Update the rate that the target takes; None if it names none."""
+        self._pacer.update_rate(rate_per_s)
+        self._admit_waiters()
+
     def current_load(self) -> AdmissionLoad:
         """Return the current load, to be reported with replies."""
         limit = max(1.0, self._limit.max_in_flight)
         return AdmissionLoad(
             shed_level=self._shed_estimator.current_level(),
             queue_ms=self._estimate_wait_ms(0),
-            load=(self.in_flight + len(self._queue)) / limit,
+            load=max(
+                (self.in_flight + len(self._queue)) / limit, self._pacer.load()
+            ),
         )
 
     async def admit(self, request: AdmissionRequest) -> None:
@@ -169,7 +190,7 @@
         """
         if self._cannot_meet_deadline(request):
             raise RefusedError(RefusalReason.deadline)
-        if self.in_flight < self._limit.max_in_flight and not len(self._queue):
+        if not len(self._queue) and self._has_room():
             self._queue.record_admission(request.organisation)
             self._occupy_slot(request.importance)
             return
@@ -198,8 +219,9 @@
             arrival_ms=loop_ms(),
             admitted=asyncio.get_running_loop().create_future(),
         )
-        self._ensure_queue_space(waiter)
+        self._ensure_queue_space(waiter, request.queue_limit_ms)
         self._queue.push(waiter)
+        self._schedule_next_token()
         give_up_ms = request.deadline_ms
         if self._shed_late:
             give_up_ms -= self._expected_latency_ms()
@@ -210,7 +232,7 @@
                 await waiter.admitted
         except TimeoutError as error:
             self._abandon(waiter)
-            raise RefusedError(RefusalReason.overload) from error
+            raise RefusedError(self._refusal_reason()) from error
         except asyncio.CancelledError:
             self._abandon(waiter)
             raise
@@ -222,15 +244,16 @@
             # The slot was assigned in the same event loop iteration in which
             # the wait timed out or was cancelled.
             self.in_flight -= 1
+            self._pacer.give_back()
             self._admit_waiters()
         else:
             self._shed_estimator.record(waiter.importance, refused=True)
 
-    def _ensure_queue_space(self, waiter: Waiter) -> None:
-        max_length = max(
-            _MIN_QUEUE_LENGTH, self._limit.max_in_flight * _QUEUE_TO_LIMIT_RATIO
-        )
-        if len(self._queue) < max_length:
+    def _ensure_queue_space(
+        self, waiter: Waiter, queue_limit_ms: float
+    ) -> None:
+        patience_ms = queue_limit_ms or waiter.deadline_ms - waiter.arrival_ms
+        if len(self._queue) < self._max_queue_length(patience_ms):
             return
         if isinstance(self._queue, ImportanceFairQueue):
             evicted = self._queue.evict_for(waiter)
@@ -238,23 +261,64 @@
             evicted = self._queue.evict_below(waiter.importance)
         if evicted is None:
             self._shed_estimator.record(waiter.importance, refused=True)
-            raise RefusedError(RefusalReason.overload)
+            raise RefusedError(self._refusal_reason())
         self._shed_estimator.record(evicted.importance, refused=True)
         if not evicted.admitted.done():
             evicted.admitted.set_exception(
-                RefusedError(RefusalReason.overload),
+                RefusedError(self._refusal_reason()),
             )
 
+    def _max_queue_length(self, patience_ms: float) -> float:
+        """Return how many requests may wait.
+
+        Args:
+            patience_ms: Longest wait of the request that arrives.
+        """
+        max_length = max(
+            _MIN_QUEUE_LENGTH, self._limit.max_in_flight * _QUEUE_TO_LIMIT_RATIO
+        )
+        rate_per_s = self._pacer.rate_per_s
+        if rate_per_s is None:
+            return max_length
+        # Those behind would only wait to be refused.
+        return min(max_length, max(1.0, rate_per_s * patience_ms / _MS_PER_S))
+
+    def _refusal_reason(self) -> RefusalReason:
+        if self.in_flight >= self._limit.max_in_flight:
+            return RefusalReason.overload
+        if self._pacer.rate_per_s is None:
+            return RefusalReason.overload
+        return RefusalReason.target_rate
+
+    def _has_room(self) -> bool:
+        return (
+            self.in_flight < self._limit.max_in_flight
+            and self._pacer.has_token()
+        )
+
     def _admit_waiters(self) -> None:
-        while len(self._queue) and self.in_flight < self._limit.max_in_flight:
+        while len(self._queue) and self._has_room():
             waiter = self._queue.pop()
             if waiter.admitted.done():
                 continue
             waiter.admitted.set_result(None)
             self._occupy_slot(waiter.importance)
+        self._schedule_next_token()
+
+    def _schedule_next_token(self) -> None:
+        """Set a timer for the first waiter if only the rate holds it back."""
+        if self._next_token_timer is not None:
+            self._next_token_timer.cancel()
+            self._next_token_timer = None
+        wait_ms = self._pacer.wait_ms()
+        if len(self._queue) and wait_ms > 0:
+            self._next_token_timer = asyncio.get_running_loop().call_later(
+                max(wait_ms, _MIN_TIMER_MS) / _MS_PER_S, self._admit_waiters
+            )
 
     def _occupy_slot(self, importance: int) -> None:
         self.in_flight += 1
+        self._pacer.take()
         self._shed_estimator.record(importance, refused=False)
 
     def _cannot_meet_deadline(self, request: AdmissionRequest) -> bool:
@@ -275,10 +339,12 @@
 
     def _estimate_wait_ms(self, importance: int) -> float:
         ahead = self._queue.count_ahead(importance)
+        pace_wait_ms = self._pacer.wait_ms(ahead)
         if not ahead and self.in_flight < self._limit.max_in_flight:
-            return 0
-        return (
+            return pace_wait_ms
+        slot_wait_ms = (
             (ahead + 1)
             * self.mean_latency_ms
             / max(1.0, self._limit.max_in_flight)
         )
+        return max(slot_wait_ms, pace_wait_ms)
