Do not call nodes silent that moved from a former relay to the next one

Cause: the node that restarts at 13 s was a relay. While it shuts down its nodes move to the next relay, and the former one, which still exchanges digests, calls all of them silent from then on; routers leave silent nodes out. Former relays now name none. Nodes log each change of the silent nodes now, with the relay that named them; no line told before why a node was left out.

Why it works: only the relay that ranks first expects reports from all nodes of its failure domain, so only its silence says something.

The test failed before: vm-0 to vm-5 were called silent.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
@@ -27,6 +27,7 @@
 )
 from chivelead_coordination._internal.member_changes import MemberChanges
 from chivelead_coordination._internal.membership import Membership
+from chivelead_coordination._internal.relay_ranking import RelayRanking
 
 # Reports arrive about every 0.5 s.  Older ones no longer describe the load.
 _REPORT_MAX_AGE_MS = 3000.0
@@ -69,11 +70,15 @@
 
     Args:
         membership: Nodes of the fleet; updated from reports and digests.
+        ranking: Ranks the nodes as relays; one of its own by default.
     """
 
-    def __init__(self, membership: Membership) -> None:
+    def __init__(
+        self, membership: Membership, ranking: RelayRanking | None = None
+    ) -> None:
         """Create an aggregate without reports."""
         self._membership = membership
+        self._ranking = ranking or RelayRanking(membership)
         self._changes = MemberChanges(membership)
         self._nodes: dict[str, _NodeState] = {}
         self._relays: dict[str, _RelayState] = {}
@@ -302,7 +307,8 @@
         )
         return combine_reports(
             reports,
-            silent_vms,
+            # Nodes that no longer report to a former relay may have moved.
+            silent_vms if self._ranking.is_first else (),
             heard_count=(len(self._nodes) - len(silent_vms)),
         )
 
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -178,7 +178,7 @@
     relay = DomainRelay(
         membership,
         links,
-        FleetAggregate(membership),
+        FleetAggregate(membership, ranking),
         ranking,
         plan_feed,
         events,
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -89,6 +89,7 @@
         self._counted_by = ''
         self._relay_vm = ''
         self._table_mismatches = 0
+        self._silent_vms: frozenset[str] = frozenset()
         self._report_lock = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -218,5 +219,17 @@
         for target in digest.busy_targets:
             if target.vm != own_vm:
                 self._estimates.record_load(target.vm, target.load)
-        self._estimates.record_silent(digest.silent_vms)
+        self._record_silent(vm, digest.silent_vms)
         self._plan_feed.pull_if_newer(vm, digest.plan_version)
+
+    def _record_silent(
+        self, relay_vm: str, silent_vms: tuple[str, ...]
+    ) -> None:
+        if self._silent_vms != frozenset(silent_vms):
+            self._silent_vms = frozenset(silent_vms)
+            self._events.record_node_event(
+                'silent-nodes',
+                silent=','.join(sorted(self._silent_vms)),
+                relay=relay_vm,
+            )
+        self._estimates.record_silent(self._silent_vms)
--- a/packages/node/tests/unit/test_fleet_reporter.py
+++ b/packages/node/tests/unit/test_fleet_reporter.py
@@ -172,3 +172,20 @@
     await leaving.relay.close()
     fleet.nodes.pop('vm-3')
     await wait_until(fleet.all_know_all, 4)
+
+
+# Guards against live nodes that get no calls: a relay that was shutting down
+# went on calling nodes silent that had moved to the next one (one target of
+# four left out for up to 4 s on the day of issue 25).
+async def test_nodes_that_move_to_another_relay_are_not_silent(fleet):
+    await join_all(fleet)
+    await wait_until(lambda: len(fleet.relays('z0')) == 1, 3)
+    (former_vm,) = fleet.relays('z0')
+    fleet.nodes[former_vm].membership.update_own(relay=False)
+    seen_silent = set()
+    for _ in range(100):
+        await asyncio.sleep(0.05)
+        for components in fleet.nodes.values():
+            seen_silent |= components.reporter._silent_vms
+    assert fleet.relays('z0') != {former_vm}
+    assert not seen_silent
