Show that targets that say that they leave go on getting requests

Nodes log the statement (target-notice with leaving) and carry it along, but nothing acts on it: a target that names it in all responses and is announced as ready gets its usual share, 2.5 s later too, with and without a restart of the node beside it.

--- a/tests/functional/test_platform_target_notices.py
+++ b/tests/functional/test_platform_target_notices.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import types
 
 import aiohttp
 from lib.platform_fleet import (
     kill_node,
     running_fleet,
     start_node,
+    wait_until,
 )
 
 _RATE_PER_S = 5.0
@@ -18,14 +20,18 @@
 _MAX_IN_WINDOW = _RATE_PER_S * _WINDOW_S * 1.5 + 5
 _REQUEST_PERIOD_S = 0.02
 _ANNOUNCEMENT_PERIOD_S = 1.0
+_NAMES_RATE = types.MappingProxyType({'Server-Limit': str(_RATE_PER_S)})
+_LEAVES = types.MappingProxyType({'Server-Leaving': '1'})
+# A node that has passed on that a target leaves may use it for so long.
+_DRAIN_S = 2.5
 
 
-class RateNamingTarget:
-    """Makes a fake target name a rate, and records when requests arrive."""
+class RecordingTarget:
+    """Adds headers to all responses of a fake target; records arrivals."""
 
-    def __init__(self, target):
+    def __init__(self, target, headers):
         """Replace the response handler of a target."""
-        self.headers = {'Server-Limit': str(_RATE_PER_S)}
+        self.headers = headers
         self.arrivals_s = []
         self._target = target
         target.response_handler = self._respond
@@ -47,6 +53,10 @@
             default=0,
         )
 
+    def count_from(self, from_s):
+        """Return the number of arrivals from an event loop time on."""
+        return sum(arrival >= from_s for arrival in self.arrivals_s)
+
     async def _respond(self, request):
         self.arrivals_s.append(asyncio.get_running_loop().time())
         await asyncio.sleep(0.01)
@@ -94,6 +104,12 @@
     fleet.nodes[index] = await start_node(settings)
 
 
+def sees_ready(fleet, index, vm):
+    """Return whether a node knows the target on a VM as ready."""
+    member = fleet.components(index).membership.find(vm)
+    return member is not None and member.target_state == 'ready'
+
+
 def now_s():
     """Return the time of the event loop."""
     return asyncio.get_running_loop().time()
@@ -103,7 +119,7 @@
 # up to 200 requests in 4 s where 143 were allowed.
 async def test_target_gets_no_more_requests_than_the_rate_that_it_names():
     async with running_fleet('stock', 'stock', 'orders') as fleet:
-        target = RateNamingTarget(fleet.targets[0])
+        target = RecordingTarget(fleet.targets[0], _NAMES_RATE)
         async with steady_requests(fleet, 0, 1, 2) as statuses:
             await asyncio.sleep(1)
             from_s = now_s()
@@ -116,7 +132,7 @@
 # is the only one to see all requests, and knows nothing at its start.
 async def test_named_rate_holds_after_a_restart_of_the_node_beside():
     async with running_fleet('stock', 'orders', 'orders') as fleet:
-        target = RateNamingTarget(fleet.targets[0])
+        target = RecordingTarget(fleet.targets[0], _NAMES_RATE)
         async with steady_requests(fleet, 1, 2):
             await asyncio.sleep(1)
             await restart_node(fleet, 0)
@@ -127,7 +143,7 @@
 
 async def test_named_rate_ends_when_the_target_names_none():
     async with running_fleet('stock', 'orders') as fleet:
-        target = RateNamingTarget(fleet.targets[0])
+        target = RecordingTarget(fleet.targets[0], _NAMES_RATE)
         async with steady_requests(fleet, 1):
             await asyncio.sleep(1)
             target.headers = {}
@@ -139,10 +155,52 @@
 
 async def test_named_rate_does_not_bind_the_next_target_on_the_vm():
     async with running_fleet('stock', 'orders') as fleet:
-        RateNamingTarget(fleet.targets[0])
+        RecordingTarget(fleet.targets[0], _NAMES_RATE)
         assert (await fleet.send_request(1, '/read/x'))[0] == 200
         fleet.targets[0].response_handler = None
         fleet.targets[0].target_id = 'i-next'
         assert await fleet.announce(0) == 200
         for _ in range(20):
             assert (await fleet.send_request(1, '/read/x'))[0] == 200
+
+
+# Guards against the other rule of issue 25: a target that says in its responses
+# that it leaves, and goes on announcing that it is ready, got requests on.
+async def test_target_that_says_it_leaves_gets_no_more_requests():
+    async with running_fleet('stock', 'stock', 'orders') as fleet:
+        target = RecordingTarget(fleet.targets[0], _LEAVES)
+        async with steady_requests(fleet, 0, 1, 2) as statuses:
+            await asyncio.sleep(_DRAIN_S)
+            from_s = now_s()
+            await asyncio.sleep(2)
+        assert target.arrivals_s
+        assert target.count_from(from_s) == 0
+        assert statuses.count(200) * 20 > len(statuses) * 19
+
+
+# Guards against the same after a restart of the node beside the target, which
+# then knows nothing; the nodes that passed the statement on still do.
+async def test_leaving_target_gets_no_requests_after_a_restart_of_its_node():
+    async with running_fleet('stock', 'stock', 'orders') as fleet:
+        target = RecordingTarget(fleet.targets[0], _LEAVES)
+        async with steady_requests(fleet, 1, 2):
+            await asyncio.sleep(1)
+            await restart_node(fleet, 0)
+            await asyncio.sleep(_DRAIN_S)
+            from_s = now_s()
+            await asyncio.sleep(2)
+        assert target.arrivals_s
+        assert target.count_from(from_s) == 0
+
+
+async def test_next_start_of_a_target_that_left_gets_requests():
+    async with running_fleet('stock', 'orders') as fleet:
+        target = RecordingTarget(fleet.targets[0], _LEAVES)
+        assert (await fleet.send_request(1, '/read/x'))[0] == 200
+        assert (await fleet.send_request(1, '/read/x'))[0] == 503
+        target.headers = {}
+        fleet.targets[0].started_ms += 5000
+        assert await fleet.announce(0) == 200
+        await wait_until(lambda: sees_ready(fleet, 1, 'vm-0'))
+        for _ in range(20):
+            assert (await fleet.send_request(1, '/read/x'))[0] == 200
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -254,6 +254,7 @@
         self.cancelled_count = 0
         self.response_handler = None
         self.healthy = True
+        self.started_ms = 1000
         self._runner = None
         self._sequence = itertools.count(1)
 
@@ -285,7 +286,7 @@
         status.update(overrides)
         return {
             'address': f'{HOST}:{self.port}',
-            'born': 1000,
+            'born': self.started_ms,
             'info': {
                 'service': self.service,
                 'version': 'v1',
