Send nothing to a target that says in its responses that it leaves

Cause: of the two ways to leave, only the one by control calls was acted on; what a target says of itself in responses had no holder, as with the named rate.

Change: the node beside the target marks it as leaving at the first such response, as when it deregisters, and tells the fleet. Nodes that passed such a response on keep the notice and send it along with each call, so a node that has restarted refuses the call and marks the target again. It ends with the next start of the target. A notice without the time of a start does not bind a start that is known, and the first announcement after a probe is no new start: both would have lost or kept the statement wrongly.

--- a/packages/node/src/chivelead_node/_internal/proxy/own_target_notices.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/own_target_notices.py
@@ -30,11 +30,12 @@
 class PlatformTargetNotices(OwnTargetNotices):
     """Keep what the target on this VM last said about the work that it takes.
 
-    Responses that this node has seen go before what other nodes know.
+    Responses that this node has seen go before what other nodes know.  A target
+    that says that it leaves gets no more calls until its next start.
 
     Args:
         header_names: Names of the headers.
-        registration: Identity of the target.
+        registration: Identity and state of the target.
         admission: Admission control; keeps to the rate that the target takes.
         events: Event log.
     """
@@ -79,9 +80,12 @@
             if self._is_first_hand
             else notice.rate_limit_per_s
         )
-        self._apply(
-            TargetSignals(rate_limit_per_s, notice.is_leaving), source='peer'
+        # A notice without the start may be about an earlier one.
+        is_same_start = identity.started_ms == self._identity.started_ms
+        is_leaving = notice.is_leaving and (
+            is_same_start or not self._identity.started_ms
         )
+        self._apply(TargetSignals(rate_limit_per_s, is_leaving), source='peer')
 
     def current(self) -> TargetNotice | None:
         """Return the notice to add to replies; None if there is none."""
@@ -118,6 +122,8 @@
             before=describe_notice(before),
             source=source,
         )
+        if is_leaving:
+            self._registration.mark_leaving(self._registration.target_id)
 
     def _parse_signals(self, headers: Headers) -> TargetSignals:
         rate_limit_per_s: float | None = None
--- a/packages/node/src/chivelead_node/_internal/proxy/registration.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/registration.py
@@ -121,10 +121,8 @@
                 newest=previous.sequence,
             )
             return False
-        is_new_instance = (
-            previous is None
-            or previous.target_id != announcement.target_id
-            or previous.started_ms != announcement.started_ms
+        is_new_instance = previous is None or not self.identity.matches(
+            TargetIdentity(announcement.target_id, announcement.started_ms)
         )
         if is_new_instance:
             self._leaving_ids.discard(announcement.target_id)
@@ -166,6 +164,8 @@
 
     def mark_leaving(self, target_id: str) -> None:
         """Stop sending new calls to a target that is about to shut down."""
+        if target_id in self._leaving_ids:
+            return
         self._leaving_ids.add(target_id)
         self._events.record_node_event('target-leaves', target=target_id)
         announcement = self._target.announcement
--- a/packages/node/src/chivelead_node/_internal/proxy/target_state.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/target_state.py
@@ -42,6 +42,7 @@
         self._membership = membership
         self._get_plan = get_plan
         self._events = events
+        registration.listen(self.publish)
 
     async def apply_announcement(
         self, announcement: TargetAnnouncement
@@ -68,7 +69,6 @@
     def mark_leaving(self, target_id: str) -> None:
         """Stop sending new calls to a target that is about to shut down."""
         self._registration.mark_leaving(target_id)
-        self.publish()
 
     def publish(self) -> None:
         """Publish the state of the target if it changed."""
