Tests: wait for the stray bytes before the next request

test_refusal_that_is_cut_off_does_not_merge_with_a_response[True] failed once, right after it was written: the target sends the stray bytes 20 ms after its response, and the test sent the next request after 30 ms by the clock. With a wait of 19 ms it fails each time, at the first byte; so the request was written before the stray bytes came, which nothing can prevent. The test now waits until the target has sent them.

--- a/packages/node/tests/unit/test_target_connections.py
+++ b/packages/node/tests/unit/test_target_connections.py
@@ -35,22 +35,26 @@
         self.requests = 0
         self.pieces = pieces
         self.server = None
+        self.has_responded = asyncio.Event()
 
     async def serve(self, reader, writer):
         """Send the pieces in response to each request."""
         self.connections += 1
         try:
-            while not writer.is_closing():
-                await reader.readuntil(b'\r\n\r\n')
-                self.requests += 1
-                for piece in self.pieces:
-                    await send_piece(writer, piece)
-        except (asyncio.IncompleteReadError, OSError):
-            pass
+            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+                await self._respond_forever(reader, writer)
         finally:
             # An open writer fails when it is collected after its loop closed.
             writer.transport.abort()
 
+    async def _respond_forever(self, reader, writer):
+        while not writer.is_closing():
+            await reader.readuntil(b'\r\n\r\n')
+            self.requests += 1
+            for piece in self.pieces:
+                await send_piece(writer, piece)
+            self.has_responded.set()
+
 
 async def send_piece(writer, piece):
     """Send a piece, or reset or close the connection."""
@@ -78,7 +82,6 @@
     finally:
         await target.close()
         server.close()
-        await asyncio.sleep(0)
 
 
 def announcement(port):
@@ -182,8 +185,8 @@
     ).encode()
 
 
-# Guards against "not run" for a request that runs: a target wrote its refusal of
-# an earlier request once more on a kept connection.
+# Guards against "not run" for a request that runs: a target wrote its refusal
+# of an earlier request once more on a kept connection.
 @pytest.mark.parametrize('repeats', [1, 2])
 async def test_repeated_refusal_is_not_taken_for_the_next_response(repeats):
     repeated = encoded_refusal('earlier') * repeats
@@ -202,7 +205,8 @@
             if is_idle:
                 raw.pieces = (encoded_response(), refusal[:cut])
                 assert await fetch_body(target) == b'body'
-                await asyncio.sleep(0.03)
+                await raw.has_responded.wait()
+                await asyncio.sleep(0.01)
                 raw.pieces = (encoded_response(),)
             else:
                 raw.pieces = (refusal[:cut], encoded_response())
