Respond to all requests before the grace period of a shutdown ends

Cause: whether a request can end within the grace period was decided once, when its head arrived, with a fixed 2.5 s. A body that ended later was passed on all the same; a grace period shorter than that refused nothing; and what was still running at the end was cut with the process, or got 502 after its link had been closed.

Change: the time for requests is a part of the grace period; new ones are refused from the middle of it at the latest, also when only their body ends later; the rest get their final response 100 ms before the components close. The end lies in the last sixth of the grace period, so requests that targets are at work on are not broken off sooner than before (5.2 s of 6 s).

Ruled out: readiness, which turns away at the SIGTERM already.

--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -42,9 +42,15 @@
 # The platform sends callers to another VM after two failed readiness probes,
 # one per second; until then, requests still arrive here.
 _CALLER_FAILOVER_MS = 2500.0
-# Part of the grace period before SIGKILL that is reserved for closing the
-# components.
+# Of the time for requests in a short grace period, the part in which new ones
+# are taken; the rest is for those to end.
+_MAX_FAILOVER_FRACTION = 0.5
+# End of the grace period before SIGKILL that is reserved for closing the
+# components, and its largest part.
 _SHUTDOWN_RESERVE_MS = 800.0
+_MAX_SHUTDOWN_RESERVE_FRACTION = 0.15
+# Time to write the responses of requests that did not end by themselves.
+_LAST_RESPONSES_MS = 100.0
 # Components that do not close in time are abandoned: the process exits anyway,
 # and peers and the store detect the closed connections.
 _CLOSE_TIMEOUT_S = 0.3
@@ -159,14 +165,18 @@
 
     async def _wait_for_requests(self, shutdown_started_ms: float) -> None:
         ingress = self._components.ingress
-        give_up_ms = (
-            shutdown_started_ms
-            + self._settings.bounds.grace_ms
-            - _SHUTDOWN_RESERVE_MS
+        grace_ms = self._settings.bounds.grace_ms
+        time_for_requests_ms = grace_ms - min(
+            _SHUTDOWN_RESERVE_MS, grace_ms * _MAX_SHUTDOWN_RESERVE_FRACTION
         )
-        while now_ms() < give_up_ms:
+        refusing_from_ms = shutdown_started_ms + min(
+            _CALLER_FAILOVER_MS, time_for_requests_ms * _MAX_FAILOVER_FRACTION
+        )
+        end_ms = shutdown_started_ms + time_for_requests_ms
+        ingress.limit_time(end_ms)
+        while now_ms() < end_ms + _LAST_RESPONSES_MS:
             await asyncio.sleep(_IN_FLIGHT_POLL_PERIOD_S)
-            if now_ms() - shutdown_started_ms < _CALLER_FAILOVER_MS:
+            if now_ms() < refusing_from_ms:
                 continue
             ingress.refusing = True
             if not (ingress.in_flight or self._components.inbound.in_flight):
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -1,7 +1,10 @@
 """HTTP ingress for callers and for calls made by the target on this VM."""
 
 import asyncio
+import math
 import random
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from aiohttp import web
 from chivelead_config import (
@@ -61,6 +64,8 @@
     ),
 )
 
+_OutcomeT = TypeVar('_OutcomeT')
+
 
 class ProxyIngress:
     """Convert HTTP requests to calls, and their replies to HTTP responses.
@@ -94,6 +99,8 @@
         self.closing = False
         # Late in the shutdown: refuse new requests.
         self.refusing = False
+        self._end_ms = math.inf
+        self._timeouts: set[asyncio.Timeout] = set()
         self._header_names = header_names
         self._own_service = own_service
         self._outbound = outbound
@@ -128,6 +135,19 @@
             if len(route.weighted_services) > 1
         }
 
+    def limit_time(self, end_ms: float) -> None:
+        """Respond to all requests by a time, also to those in progress.
+
+        Args:
+            end_ms: Event loop time.
+        """
+        self._end_ms = end_ms
+        end_s = end_ms / _MS_PER_S
+        for timeout in self._timeouts:
+            planned_s = timeout.when() or math.inf
+            if planned_s > end_s and not timeout.expired():
+                timeout.reschedule(end_s)
+
     async def handle_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
@@ -187,8 +207,9 @@
 
     async def _run(self, call: calls.Call) -> CallReply:
         try:
-            async with asyncio.timeout_at(call.deadline_ms / _MS_PER_S):
-                return await self._outbound.run(call)
+            return await self._run_until(
+                self._outbound.run(call), call.deadline_ms
+            )
         except TimeoutError:
             return calls.refusal_reply(
                 calls.Refusal(
@@ -199,6 +220,37 @@
                 ),
             )
 
+    async def _run_until(
+        self, coroutine: Coroutine[Any, Any, _OutcomeT], deadline_ms: float
+    ) -> _OutcomeT:
+        """Return a result, or raise TimeoutError at a time.
+
+        The time is earlier during a shutdown.
+        """
+        timeout = asyncio.timeout_at(min(deadline_ms, self._end_ms) / _MS_PER_S)
+        self._timeouts.add(timeout)
+        try:
+            async with timeout:
+                return await coroutine
+        finally:
+            self._timeouts.discard(timeout)
+
+    async def _read_body(
+        self, request: web.BaseRequest, limit_bytes: int
+    ) -> bytes:
+        if not request.can_read_body:
+            return b''
+        try:
+            body = await self._run_until(
+                read_body(request, limit_bytes), math.inf
+            )
+        except TimeoutError as error:
+            raise _unavailable('closing') from error
+        # The call could not end before the node does.
+        if self.refusing:
+            raise _unavailable('closing')
+        return body
+
     async def _build_call(
         self,
         request: web.BaseRequest,
@@ -231,7 +283,7 @@
             self._buffer_limit_bytes
         ):
             raise _unavailable('memory')
-        body = await read_body(request, plan.limits.body_limit_bytes)
+        body = await self._read_body(request, plan.limits.body_limit_bytes)
         wait_fraction = (
             _TARGET_CALL_QUEUE_WAIT_FRACTION
             if is_target_call
