Keep departures of targets in the store for the next start of their node

A departure was known to the memory of one node. After a restart, an announcement that comes late, or a probe that succeeds, was the first thing it heard. The same holds if the departure comes after the restart and before the first announcement: an announcement of an unknown target ended any departure.

Ruled out: peers as holders. They stop to call a target that leaves, so none of them may have a notice; and the statement need not stand in any response they have seen.

Change: departures are saved in the store, under a lease of ten minutes, before they are acknowledged (0.3 s at most, then in the background), and read before a node that restarts opens its ports. A departure is bound to a start of the target, or to the time at which it came, so the next start under the same ID is not meant.

What remains: a departure acknowledged while the store is down, and a restart before it is back. Cost: two calls of the store a departure, one a restart.

--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -36,6 +36,7 @@
 from chivelead_node._internal.log_writer import LogWriter
 from chivelead_node._internal.outbound import OutboundCalls
 from chivelead_node._internal.proxy.contacts import ContactDirectory
+from chivelead_node._internal.proxy.departures import DepartureRecords
 from chivelead_node._internal.proxy.dialect import PlatformDialect
 from chivelead_node._internal.proxy.domain_relay import DomainRelay
 from chivelead_node._internal.proxy.fleet_reporter import FleetReporter
@@ -96,6 +97,7 @@
     admission: Admission
     target: LocalTarget
     registration: TargetRegistration
+    departures: DepartureRecords
     inbound: InboundCalls
     ingress: ProxyIngress
     plan_feed: PlanFeed
@@ -226,6 +228,7 @@
         admission=admission,
         target=target,
         registration=registration,
+        departures=DepartureRecords(settings.vm, store, registration, events),
         inbound=inbound,
         ingress=ProxyIngress(
             HEADERS,
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -100,6 +100,7 @@
         components.membership.listen(self._handle_member_change)
         await components.store.start()
         await components.links.start()
+        await components.departures.start(restore=not settings.first_start)
         await self._listen()
         await components.plan_feed.start(
             components.relay.should_watch_plan,
@@ -157,6 +158,7 @@
             components.relay,
             components.plan_feed,
             components.contacts,
+            components.departures,
             components.links,
         ):
             await component.close()
@@ -188,6 +190,7 @@
         control_api = ControlApi(
             CONTROL_API_FORMAT,
             components.publisher,
+            components.departures,
             self._is_ready,
             components.events,
         )
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/departures.py
@@ -0,0 +1,141 @@
+"""Departures of targets, kept in the store for the next start of a node.
+
+A target that has left may serve for some time without announcing itself.  A
+node that restarts meanwhile would take an announcement that arrives late, or
+the response to a probe, for a target that is ready.
+"""
+
+import asyncio
+import json
+import logging
+
+from chivelead_coordination import WatchableStore, Write
+from chivelead_protocol import StoreError
+
+from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.backoff import Backoff
+from chivelead_node._internal.proxy.registration import TargetRegistration
+
+logger = logging.getLogger(__name__)
+
+KEY_PREFIX = 'chivelead/departures/'
+
+# Longer than a target serves after it has left.
+_KEPT_MS = 600_000
+# The time that a start, and the response to a target, wait for the store.
+_STORE_WAIT_S = 0.3
+
+
+class DepartureRecords:
+    """Save the departures of the targets on this VM, and restore them.
+
+    Args:
+        vm: This VM.
+        store: Store of the platform.
+        registration: State of the target.
+        events: Event log.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        store: WatchableStore,
+        registration: TargetRegistration,
+        events: EventLog,
+    ) -> None:
+        """Create records; nothing is read or saved yet."""
+        self._key = f'{KEY_PREFIX}{vm}'
+        self._store = store
+        self._registration = registration
+        self._events = events
+        self._saved: dict[str, int] = {}
+        self._save_task: asyncio.Task[None] | None = None
+        self._restore_task: asyncio.Task[None] | None = None
+        registration.listen(self._save_soon)
+
+    async def start(self, *, restore: bool) -> None:
+        """Restore the departures of an earlier start, if there was one.
+
+        If the store does not reply in time, they are restored later.
+        """
+        if restore:
+            self._restore_task = asyncio.create_task(self._restore())
+            await asyncio.wait((self._restore_task,), timeout=_STORE_WAIT_S)
+
+    async def close(self) -> None:
+        """Stop reading and saving."""
+        for task in (self._restore_task, self._save_task):
+            if task is not None:
+                task.cancel()
+
+    async def wait_until_saved(self) -> None:
+        """Wait until the departures are saved, or for a short time."""
+        if self._save_task is not None:
+            await asyncio.wait((self._save_task,), timeout=_STORE_WAIT_S)
+
+    async def _restore(self) -> None:
+        backoff = Backoff()
+        while True:
+            try:
+                entry = await self._store.read(self._key)
+            except StoreError as error:
+                logger.debug('reading the departures failed: %s', error)
+                await asyncio.sleep(backoff.next_delay_s())
+            else:
+                break
+        if entry is None:
+            return
+        departures = _parse_departures(entry.text)
+        self._events.record_node_event(
+            'departures-restored', targets=','.join(departures)
+        )
+        self._saved = departures
+        self._registration.restore_departures(departures)
+
+    def _save_soon(self) -> None:
+        is_saving = self._save_task is not None and not self._save_task.done()
+        if not is_saving and self._has_changed():
+            self._save_task = asyncio.create_task(self._save())
+
+    def _has_changed(self) -> bool:
+        return self._registration.departures != self._saved
+
+    async def _save(self) -> None:
+        backoff = Backoff()
+        while self._has_changed():
+            departures = dict(self._registration.departures)
+            try:
+                await self._write(departures)
+            except StoreError as error:
+                logger.debug('saving the departures failed: %s', error)
+                await asyncio.sleep(backoff.next_delay_s())
+            else:
+                self._saved = departures
+
+    async def _write(self, departures: dict[str, int]) -> None:
+        lease_id = await self._store.grant_lease(_KEPT_MS)
+        await self._store.write(
+            Write(
+                self._key,
+                json.dumps(departures),
+                expected_revision=None,
+                lease_id=lease_id,
+            )
+        )
+
+
+def _parse_departures(text: str) -> dict[str, int]:
+    """Return the departures in an entry; malformed ones are left out."""
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        logger.warning('the departures in the store are malformed: %s', error)
+        return {}
+    if not isinstance(raw, dict):
+        logger.warning('the departures in the store are no JSON object')
+        return {}
+    return {
+        target_id: latest_start_ms
+        for target_id, latest_start_ms in raw.items()
+        if isinstance(latest_start_ms, int)
+    }
--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -8,6 +8,7 @@
 from chivelead_protocol import ConfigurationError
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.departures import DepartureRecords
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
 from chivelead_node._internal.proxy.target_state import TargetStatePublisher
 
@@ -92,6 +93,7 @@
     Args:
         api_format: Parsers of requests.
         publisher: Receives announcements and departures.
+        departures: Saves departures before they are acknowledged.
         is_ready: Returns whether the node accepts requests of callers.
         events: Event log.
     """
@@ -100,12 +102,14 @@
         self,
         api_format: ControlApiFormat,
         publisher: TargetStatePublisher,
+        departures: DepartureRecords,
         is_ready: Callable[[], bool],
         events: EventLog,
     ) -> None:
         """Create the handler."""
         self._api_format = api_format
         self._publisher = publisher
+        self._departures = departures
         self._is_ready = is_ready
         self._events = events
 
@@ -123,6 +127,7 @@
             )
         if request_kind is NodeRequestKind.departure:
             self._publisher.mark_leaving(target_id)
+            await self._departures.wait_until_saved()
             return web.json_response({})
         if request_kind is NodeRequestKind.announcement:
             return await self._handle_announcement(request, target_id)
--- a/packages/node/src/chivelead_node/_internal/proxy/registration.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/registration.py
@@ -1,7 +1,8 @@
 """State of the target on this VM, as derived from its announcements."""
 
 import dataclasses
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Mapping
 
 from chivelead_config import TargetAnnouncement
 from chivelead_policy import Admission
@@ -12,6 +13,8 @@
 
 # The target counts as gone after this many periods without an announcement.
 _MAX_MISSED_ANNOUNCEMENTS = 4
+_MAX_DEPARTURES = 8
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,6 +49,11 @@
         admission: Admission control; receives the number of slots.
         events: Event log.
         announcement_period_ms: Time between two announcements.
+
+    Attributes:
+        departures: For the ID of each target that has left, the Unix time of
+            its start, or of the departure if the start is unknown.  Later
+            starts under the same ID have not left.
     """
 
     def __init__(
@@ -58,11 +66,11 @@
         """Create a registration without a target."""
         self.latest_announcement: TargetAnnouncement | None = None
         self.unresponsive = False
+        self.departures: dict[str, int] = {}
         self._target = target
         self._admission = admission
         self._events = events
         self._announcement_period_ms = announcement_period_ms
-        self._leaving_ids: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -93,7 +101,7 @@
             > self._announcement_period_ms * _MAX_MISSED_ANNOUNCEMENTS
         ):
             return TargetState.gone
-        if self.latest_announcement.target_id in self._leaving_ids:
+        if self._has_left(self.identity):
             return TargetState.draining
         return self.latest_announcement.state
 
@@ -121,14 +129,17 @@
                 newest=previous.sequence,
             )
             return False
+        identity = TargetIdentity(
+            announcement.target_id, announcement.started_ms
+        )
         is_new_instance = previous is None or not self.identity.matches(
-            TargetIdentity(announcement.target_id, announcement.started_ms)
+            identity
         )
-        if is_new_instance:
-            self._leaving_ids.discard(announcement.target_id)
         state = announcement.state
-        if announcement.target_id in self._leaving_ids:
+        if self._has_left(identity):
             state = TargetState.draining
+        else:
+            self.departures.pop(identity.target_id, None)
         self.latest_announcement = announcement
         await self._target.apply_announcement(
             Announcement(
@@ -164,15 +175,35 @@
 
     def mark_leaving(self, target_id: str) -> None:
         """Stop sending new calls to a target that is about to shut down."""
-        if target_id in self._leaving_ids:
+        if target_id in self.departures:
             return
-        self._leaving_ids.add(target_id)
-        self._events.record_node_event('target-leaves', target=target_id)
-        announcement = self._target.announcement
-        if announcement is not None and self.target_id == target_id:
+        identity = self.identity
+        latest_start_ms = int(time.time() * _MS_PER_S)
+        if identity.target_id == target_id and identity.started_ms:
+            latest_start_ms = identity.started_ms
+        self._events.record_node_event(
+            'target-leaves', target=target_id, started_ms=latest_start_ms
+        )
+        self._set_departures({**self.departures, target_id: latest_start_ms})
+
+    def restore_departures(self, departures: Mapping[str, int]) -> None:
+        """Add the departures that an earlier start of the node knew."""
+        self._set_departures({**departures, **self.departures})
+
+    def _set_departures(self, departures: dict[str, int]) -> None:
+        latest = list(departures.items())[-_MAX_DEPARTURES:]
+        self.departures = dict(latest)
+        if self._has_left(self.identity):
             self._target.mark_draining()
         self._notify_listeners()
 
+    def _has_left(self, identity: TargetIdentity) -> bool:
+        latest_start_ms = self.departures.get(identity.target_id)
+        return (
+            latest_start_ms is not None
+            and identity.started_ms <= latest_start_ms
+        )
+
     def _notify_listeners(self) -> None:
         for on_change in self._listeners:
             on_change()
--- a/tests/functional/test_platform_target_notices.py
+++ b/tests/functional/test_platform_target_notices.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import types
 
 import aiohttp
 from chivelead_protocol import TargetNotice
 from lib.platform_fleet import (
-    kill_node,
+    restart_node,
     running_fleet,
-    start_node,
 )
 
 _RATE_PER_S = 5.0
@@ -97,13 +95,6 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def restart_node(fleet, index):
-    """Kill a node and start it again beside its running target."""
-    await kill_node(fleet.nodes[index])
-    settings = dataclasses.replace(fleet.settings[index], first_start=False)
-    fleet.nodes[index] = await start_node(settings)
-
-
 def now_s():
     """Return the time of the event loop."""
     return asyncio.get_running_loop().time()
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import secrets
 import types
 
@@ -156,6 +157,7 @@
         components.reporter,
         components.relay,
         components.contacts,
+        components.departures,
         components.plan_feed,
         components.links,
         components.target,
@@ -167,6 +169,13 @@
     await node._log_writer.close()
 
 
+async def restart_node(fleet, index):
+    """Kill a node and start it again beside its running target."""
+    await kill_node(fleet.nodes[index])
+    settings = dataclasses.replace(fleet.settings[index], first_start=False)
+    fleet.nodes[index] = await start_node(settings)
+
+
 async def wait_until(condition, timeout_s=10):
     """Poll until a condition is true.
 
