--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from typing import Any
 
 from chivelead_config import TrafficPlan
@@ -265,6 +266,11 @@
             components.publisher.publish()
             admission_load = components.admission.current_load()
             components.metrics.gauge('load', admission_load.load)
+            rate_limit_per_s = components.admission.rate_limit_per_s
+            components.metrics.gauge(
+                'target_rate_limit',
+                math.inf if rate_limit_per_s is None else rate_limit_per_s,
+            )
             components.metrics.gauge(
                 'shed_part', components.overload.shed_controller.shed_part
             )
--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -166,6 +166,11 @@
             self._limit.skip_slow_start()
         self._admit_waiters()
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Return the rate that the target takes; None if it names none."""
+        return self._pacer.rate_per_s
+
     def update_rate_limit(self, rate_per_s: float | None) -> None:
         """Update the rate that the target takes; None if it names none."""
         self._pacer.update_rate(rate_per_s)
--- a/tests/functional/test_platform_target_notices.py
+++ b/tests/functional/test_platform_target_notices.py
@@ -95,6 +95,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def rendered_metrics(fleet, index):
+    """Return the metrics of a node as text."""
+    return fleet.components(index).metrics.render().decode()
+
+
 def now_s():
     """Return the time of the event loop."""
     return asyncio.get_running_loop().time()
@@ -110,6 +115,7 @@
             from_s = now_s()
             await asyncio.sleep(_WINDOW_S + 1)
         assert 0 < target.max_in_window(from_s) <= _MAX_IN_WINDOW
+        assert 'target_rate_limit"} 5.0' in rendered_metrics(fleet, 0)
         assert statuses.count(200) * 20 > len(statuses) * 19
 
 
@@ -136,6 +142,7 @@
             from_s = now_s()
             await asyncio.sleep(2)
         assert target.max_in_window(from_s) > 2 * _RATE_PER_S * 3
+        assert 'target_rate_limit"} +Inf' in rendered_metrics(fleet, 0)
 
 
 async def test_named_rate_does_not_bind_the_next_target_on_the_vm():
