--- a/packages/policy/tests/unit/test_pacing.py
+++ b/packages/policy/tests/unit/test_pacing.py
@@ -163,6 +163,15 @@
     assert min(gaps_ms) >= 999
 
 
+@pytest.mark.looptime
+async def test_a_pause_earns_no_more_than_half_a_second_of_the_rate():
+    await advance_clock(1)
+    target = PacedTarget(10)
+    await advance_clock(60)
+    await asyncio.gather(*(target.run(queue_limit_ms=1) for _ in range(30)))
+    assert len(target.starts_ms) == 5
+
+
 _CHANGES = st.lists(
     st.tuples(
         st.floats(0.1, 40),
