--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -176,7 +176,7 @@
             _CALLER_FAILOVER_MS, time_for_requests_ms * _MAX_FAILOVER_FRACTION
         )
         end_ms = shutdown_started_ms + time_for_requests_ms
-        ingress.limit_time(end_ms)
+        ingress.timeouts.limit(end_ms)
         while now_ms() < end_ms + _LAST_RESPONSES_MS:
             await asyncio.sleep(_IN_FLIGHT_POLL_PERIOD_S)
             if now_ms() < refusing_from_ms:
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -1,10 +1,7 @@
 """HTTP ingress for callers and for calls made by the target on this VM."""
 
 import asyncio
-import math
 import random
-from collections.abc import Coroutine
-from typing import Any, TypeVar
 
 from aiohttp import web
 from chivelead_config import (
@@ -23,6 +20,7 @@
 from chivelead_node._internal.outbound import OutboundCalls
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
 from chivelead_node._internal.proxy.overload import FleetOverload
+from chivelead_node._internal.proxy.request_timeouts import RequestTimeouts
 from chivelead_node._internal.proxy.responses import (
     add_jitter,
     response_from_refusal,
@@ -64,8 +62,6 @@
     ),
 )
 
-_OutcomeT = TypeVar('_OutcomeT')
-
 
 class ProxyIngress:
     """Convert HTTP requests to calls, and their replies to HTTP responses.
@@ -99,8 +95,7 @@
         self.closing = False
         # Late in the shutdown: refuse new requests.
         self.refusing = False
-        self._end_ms = math.inf
-        self._timeouts: set[asyncio.Timeout] = set()
+        self.timeouts = RequestTimeouts()
         self._header_names = header_names
         self._own_service = own_service
         self._outbound = outbound
@@ -135,19 +130,6 @@
             if len(route.weighted_services) > 1
         }
 
-    def limit_time(self, end_ms: float) -> None:
-        """Respond to all requests by a time, also to those in progress.
-
-        Args:
-            end_ms: Event loop time.
-        """
-        self._end_ms = end_ms
-        end_s = end_ms / _MS_PER_S
-        for timeout in self._timeouts:
-            planned_s = timeout.when() or math.inf
-            if planned_s > end_s and not timeout.expired():
-                timeout.reschedule(end_s)
-
     async def handle_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
@@ -207,7 +189,7 @@
 
     async def _run(self, call: calls.Call) -> CallReply:
         try:
-            return await self._run_until(
+            return await self.timeouts.run(
                 self._outbound.run(call), call.deadline_ms
             )
         except TimeoutError:
@@ -220,30 +202,13 @@
                 ),
             )
 
-    async def _run_until(
-        self, coroutine: Coroutine[Any, Any, _OutcomeT], deadline_ms: float
-    ) -> _OutcomeT:
-        """Return a result, or raise TimeoutError at a time.
-
-        The time is earlier during a shutdown.
-        """
-        timeout = asyncio.timeout_at(min(deadline_ms, self._end_ms) / _MS_PER_S)
-        self._timeouts.add(timeout)
-        try:
-            async with timeout:
-                return await coroutine
-        finally:
-            self._timeouts.discard(timeout)
-
     async def _read_body(
         self, request: web.BaseRequest, limit_bytes: int
     ) -> bytes:
         if not request.can_read_body:
             return b''
         try:
-            body = await self._run_until(
-                read_body(request, limit_bytes), math.inf
-            )
+            body = await self.timeouts.run(read_body(request, limit_bytes))
         except TimeoutError as error:
             raise _unavailable('closing') from error
         # The call could not end before the node does.
