Show that a plan waits while the nodes that watch it are cut off from the store

Cause: only the relay of a failure domain watches the plan. node_cut takes six nodes away from the store at 1.0 s, and the relays of all four domains are among them; they still reach the other nodes, rank first, and watch in vain, so no node watches. If one relay hears the store, the others get the plan from it. The log shows it: store-lost at the four relays at 3.1 s, no plan-in-force after version 6, no relay-chosen.

Ruled out: departures, notices, deaf watches.

--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -62,6 +62,31 @@
         )
 
 
+# Guards against keys that are withdrawn and stay in use: the node that watches
+# the plan for its failure domain was cut off from the store, and no other did.
+async def test_plan_takes_effect_though_its_watcher_is_cut_off_from_the_store():
+    async with running_fleet('stock', 'orders', 'stock') as fleet:
+        nodes = range(3)
+        await wait_until(lambda: len(plan_watchers(fleet)) == 1)
+        watcher = plan_watchers(fleet)[0]
+        fleet.components(watcher).store._url = 'http://127.0.0.1:1/api'
+        # By then, its watch in progress has ended.
+        await asyncio.sleep(1.5)
+        fleet.store.put('op/config', make_plan_text(9, ROUTES, ORGANISATIONS))
+        await wait_until(
+            lambda: all(fleet.plan_version(index) == 9 for index in nodes), 2.5
+        )
+
+
+def plan_watchers(fleet):
+    """Return the indexes of the nodes that watch the plan."""
+    return [
+        index
+        for index, node in enumerate(fleet.nodes)
+        if node._components.relay.should_watch_plan()
+    ]
+
+
 async def test_plan_is_read_again_after_compaction_of_the_store():
     async with running_fleet('stock') as fleet:
         fleet.store.compact_history()
