--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -20,7 +20,7 @@
     loop_ms,
 )
 
-from chivelead_node._internal import calls
+from chivelead_node._internal import calls, inbound_replies
 from chivelead_node._internal.dialects import TargetDialect
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.metrics import CallMetrics
@@ -37,22 +37,6 @@
 _MAX_REMEMBERED_ATTEMPTS = 50_000
 _MS_PER_S = 1000
 _UNAVAILABLE = 503
-_BAD_GATEWAY = 502
-_GATEWAY_TIMEOUT = 504
-_DROPPED_RESPONSE_HEADERS = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'transfer-encoding',
-        'content-length',
-        'upgrade',
-        'trailer',
-        'date',
-        'server',
-        'chivelead-outcome',
-        'chivelead-token',
-    ),
-)
 
 
 class AdmissionObserver:
@@ -195,7 +179,7 @@
                 load=round(self._admission.current_load().load, 2),
             )
             return self._with_load_report(
-                _admission_refusal(error.reason), allowance
+                inbound_replies.admission_refusal_reply(error.reason), allowance
             )
         self._observer.admitted(request)
         self._events.record_call_event(
@@ -238,7 +222,7 @@
         if not request.idempotent:
             self._uncancellable_attempts.add(request.attempt_id)
         # The reply if neither a response nor a failure arrives in time.
-        reply = calls.refusal_reply(_timeout_refusal())
+        reply = inbound_replies.timeout_reply()
         shed = False
         failed = True
         try:
@@ -246,9 +230,9 @@
                 response = await self._call_target(request, token, deadline_ms)
             failed = False
             shed = self._dialect.is_overload_refusal(response)
-            reply = _reply_from_response(response, shed=shed)
+            reply = inbound_replies.reply_from_response(response, shed=shed)
         except TargetFailedError as error:
-            reply = calls.refusal_reply(_target_failure_refusal(error))
+            reply = inbound_replies.target_failure_reply(error)
         except TimeoutError:
             self._metrics.count('target.timeout')
         finally:
@@ -347,64 +331,3 @@
             downstream_shed_level=float(allowance.max_downstream_level),
             notice=self._notices.current(),
         )
-
-
-def _reply_from_response(response: TargetResponse, *, shed: bool) -> CallReply:
-    if shed:
-        return calls.refusal_reply(
-            calls.Refusal(
-                _UNAVAILABLE,
-                'target-overload',
-                Outcome.not_run,
-                'the target refused the request for overload',
-            ),
-        )
-    return CallReply(
-        status=response.status,
-        headers=tuple(
-            pair
-            for pair in response.headers
-            if pair[0].lower() not in _DROPPED_RESPONSE_HEADERS
-        ),
-        body=response.body,
-        outcome=Outcome.done,
-        reason='',
-        retry_allowance=0,
-        shed_level=0,
-        queue_ms=0,
-        load=0,
-        downstream_shed_level=0,
-    )
-
-
-def _admission_refusal(reason: RefusalReason) -> CallReply:
-    details = {
-        RefusalReason.overload: 'the target has no room for this request',
-        RefusalReason.target_rate: 'the target takes no more requests a second',
-        RefusalReason.deadline: 'the time left does not suffice',
-        RefusalReason.draining: 'the target takes no new work',
-    }
-    status = _UNAVAILABLE
-    if reason is RefusalReason.deadline:
-        status = _GATEWAY_TIMEOUT
-    return calls.refusal_reply(
-        calls.Refusal(status, reason, Outcome.not_run, details[reason]),
-    )
-
-
-def _timeout_refusal() -> calls.Refusal:
-    return calls.Refusal(
-        _GATEWAY_TIMEOUT,
-        'timeout',
-        Outcome.unknown,
-        'the target did not answer in time',
-    )
-
-
-def _target_failure_refusal(error: TargetFailedError) -> calls.Refusal:
-    return calls.Refusal(
-        _BAD_GATEWAY,
-        'target-failed',
-        Outcome.unknown if error.may_have_run else Outcome.not_run,
-        'the target gave no whole answer',
-    )
--- a/packages/policy/src/chivelead_policy/_internal/admission.py
+++ b/packages/policy/src/chivelead_policy/_internal/admission.py
@@ -1,7 +1,6 @@
 """Admission control at the node in front of a target."""
 
 import asyncio
-import collections
 import dataclasses
 import enum
 
@@ -14,13 +13,12 @@
     Waiter,
     WaitQueue,
 )
+from chivelead_policy._internal.shed_level import ShedLevelEstimator
 
 _QUEUE_TO_LIMIT_RATIO = 0.5
 _MIN_QUEUE_LENGTH = 4
 _DEADLINE_MARGIN_DEVIATIONS = 1.5
 _LATENCY_EWMA_WEIGHT = 0.1
-_SHED_WINDOW_MS = 400
-_IMPORTANCE_LEVELS = 10
 _MS_PER_S = 1000
 # Rounding can leave a wait that does not move the clock.
 _MIN_TIMER_MS = 1.0
@@ -77,48 +75,6 @@
     load: float
 
 
-class _ShedLevelEstimator:
-    """Estimate the shed level from recent admissions and refusals."""
-
-    def __init__(self) -> None:
-        self._events: collections.deque[tuple[float, int, bool]] = (
-            collections.deque()
-        )
-        self._admitted = [0 for _ in range(_IMPORTANCE_LEVELS)]
-        self._refused = [0 for _ in range(_IMPORTANCE_LEVELS)]
-
-    def record(self, importance: int, refused: bool) -> None:
-        self._events.append((loop_ms(), importance, refused))
-        counts = self._refused if refused else self._admitted
-        counts[importance] += 1
-
-    def current_level(self) -> float:
-        window_start_ms = loop_ms() - _SHED_WINDOW_MS
-        while self._events and self._events[0][0] < window_start_ms:
-            _, importance, refused = self._events.popleft()
-            counts = self._refused if refused else self._admitted
-            counts[importance] -= 1
-        return self._compute_level()
-
-    def _compute_level(self) -> float:
-        """Return the shed level at which the offered requests fit capacity.
-
-        The capacity is the number of requests admitted within the window; it
-        is assigned to the most important requests first.  A single refusal
-        thus raises the level by one request of the lowest importance, not to
-        the importance of the refused request.
-        """
-        capacity = sum(self._admitted)
-        if not sum(self._refused):
-            return 0
-        for importance in reversed(range(_IMPORTANCE_LEVELS)):
-            offered = self._admitted[importance] + self._refused[importance]
-            if offered > capacity:
-                return importance + 1 - capacity / offered
-            capacity -= offered
-        return 0
-
-
 class Admission:
     """Admit, queue or refuse requests for one target.
 
@@ -151,7 +107,7 @@
         self._pacer = RequestPacer()
         self._next_token_timer: asyncio.TimerHandle | None = None
         self._shed_late = shed_late
-        self._shed_estimator = _ShedLevelEstimator()
+        self._shed_estimator = ShedLevelEstimator()
         self._latency_deviation_ms = 0.0
 
     def update_slots(self, slots: int, *, warm: bool = False) -> None:
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -64,7 +64,7 @@
 
 # Guards against keys that are withdrawn and stay in use: the node that watches
 # the plan for its failure domain was cut off from the store, and no other did.
-async def test_plan_takes_effect_though_its_watcher_is_cut_off_from_the_store():
+async def test_plan_takes_effect_though_its_watcher_has_no_store():
     async with running_fleet('stock', 'orders', 'stock') as fleet:
         nodes = range(3)
         await wait_until(lambda: len(plan_watchers(fleet)) == 1)
