Let the next nodes watch the plan while the relay does not hear from the store

Cause: only the node that ranks first in a failure domain watched the plan. While the relays of all domains were cut off from the store and from nothing else, they went on ranking first, and nobody heard of new plans. The class is a role that is given by rank and kept though its holder can't do its work. Contacts have the same shape, but a contact that is out of date only delays a start.

Change: reports and digests carry the age of the plan, which is the time since the sender heard from the store. A relay pulls a newer plan from a report, and nodes that watch report a new plan at once. A watch ends after 0.35 of the bound (0.45 before), so that a standby reads in time.

--- a/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/fleet_aggregate.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from chivelead_protocol import (
     ChangePosition,
@@ -123,8 +124,16 @@
         for tally in (self._domain_tally, self._fleet_tally):
             tally.apply(member.vm, member.boot_id, report.counts)
 
-    def make_fleet_digest(self, report: NodeReport) -> FleetDigest:
-        """Return the reply to the report of a node."""
+    def make_fleet_digest(
+        self, report: NodeReport, *, own_plan_age_ms: float = math.inf
+    ) -> FleetDigest:
+        """Return the reply to the report of a node.
+
+        Args:
+            report: The report.
+            own_plan_age_ms: Time since this relay read or watched the plan in
+                the store.
+        """
         vm = report.member.vm
         members, position = self._changes.since(report.position)
         known = self._membership.find(vm)
@@ -137,6 +146,7 @@
             members=members,
             table_digest=self._membership.digest,
             plan_version=state.plan_version,
+            plan_age_ms=min(own_plan_age_ms, self._plan_age_before_ms(vm)),
             heard_count=state.heard_count,
             is_settled=loop_ms() - self._started_ms > _SETTLING_MS,
             is_counted=self._fleet_tally.is_known(vm, report.member.boot_id),
@@ -233,6 +243,21 @@
                 self._nodes.pop(vm)
                 self._forget_counts(vm)
 
+    def _plan_age_before_ms(self, vm: str) -> float:
+        """Return the least age of the plan at the nodes that rank before."""
+        time_ms = loop_ms()
+        age_ms = math.inf
+        own = self._membership.own
+        for other in self._ranking.ranked(own.failure_domain):
+            if other == vm:
+                break
+            state = self._nodes.get(other)
+            # The relay knows its own age better than from its last report.
+            if state is not None and other != own.vm:
+                since_report_ms = time_ms - state.heard_ms
+                age_ms = min(age_ms, state.report.plan_age_ms + since_report_ms)
+        return age_ms
+
     def _forget_counts(self, vm: str) -> None:
         self._domain_tally.forget(vm)
         self._fleet_tally.forget(vm)
--- a/packages/coordination/src/chivelead_coordination/_internal/relay_ranking.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/relay_ranking.py
@@ -32,6 +32,16 @@
         own = self._membership.own
         return self.candidates(own.failure_domain)[:1] == [own.vm]
 
+    @property
+    def own_rank(self) -> int | None:
+        """Return how many reachable nodes rank before this one.
+
+        None if this node does not offer to relay.
+        """
+        own = self._membership.own
+        candidates = self.candidates(own.failure_domain)
+        return candidates.index(own.vm) if own.vm in candidates else None
+
     def candidates(self, failure_domain: str) -> list[str]:
         """Return the reachable nodes of a failure domain, the best first."""
         time_ms = loop_ms()
--- a/packages/coordination/tests/unit/test_fleet_aggregate.py
+++ b/packages/coordination/tests/unit/test_fleet_aggregate.py
@@ -44,12 +44,15 @@
         self.position = NO_POSITION
         self.digest = None
 
-    def make_report(self, *, shed_fraction=0.0, load=0.0, plan_version=1):
+    def make_report(
+        self, *, shed_fraction=0.0, load=0.0, plan_version=1, plan_age_ms=0.0
+    ):
         """Return a report that has nothing special in it."""
         return NodeReport(
             member=self.membership.own,
             members=(),
             plan_version=plan_version,
+            plan_age_ms=plan_age_ms,
             counts=CountReport(is_full=True, counts=()),
             fan_outs=(),
             shed_fraction=shed_fraction,
@@ -141,6 +144,20 @@
     assert sizes[40] <= sizes[4] * 1.1
 
 
+async def test_age_of_the_plan_is_that_at_nodes_that_rank_before():
+    nodes = make_fleet(4)
+    vms = nodes['z0-00'].ranking.candidates('z0')
+    relay, *others = (nodes[vm] for vm in vms)
+    ages_ms = []
+    for node in others:
+        report = node.make_report(plan_age_ms=500.0 * len(ages_ms))
+        relay.aggregate.apply_report(report)
+        digest = relay.aggregate.make_fleet_digest(report, own_plan_age_ms=9000)
+        ages_ms.append(digest.plan_age_ms)
+        await advance_clock(0.1)
+    assert ages_ms == pytest.approx([9000, 100, 200])
+
+
 async def test_new_node_learns_the_whole_fleet_from_one_digest():
     nodes = make_fleet(24)
     await run_round(nodes)
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -249,6 +249,9 @@
         )
         self._components.overload.apply(plan)
         self._components.ingress.apply(plan)
+        if self._components.relay.should_watch_plan():
+            # Other nodes learn of the plan from the reports of this one.
+            self._components.reporter.report_soon()
 
     def _handle_member_change(self, member: Member) -> None:
         if member.vm == self._settings.vm:
--- a/packages/node/src/chivelead_node/_internal/proxy/domain_relay.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/domain_relay.py
@@ -20,6 +20,7 @@
 
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
+from chivelead_node._internal.proxy.plan_watch_role import PlanWatchRole
 
 logger = logging.getLogger(__name__)
 
@@ -74,6 +75,7 @@
         self._ranking = ranking
         self._plan_feed = plan_feed
         self._events = events
+        self._plan_watch_role = PlanWatchRole(ranking, plan_feed, events)
         self._is_active = False
         self._tasks: list[asyncio.Task[None]] = []
         self._domain_tasks: dict[str, asyncio.Task[None]] = {}
@@ -93,7 +95,11 @@
 
     def should_watch_plan(self) -> bool:
         """Return whether this node watches the plan for its failure domain."""
-        return self.joined.is_set() and self._ranking.is_first
+        return self.joined.is_set() and self._plan_watch_role.should_watch()
+
+    def record_plan_age(self, plan_age_ms: float) -> None:
+        """Record the least age of the plan at nodes that rank before this."""
+        self._plan_watch_role.record_age(plan_age_ms)
 
     def is_relay(self) -> bool:
         """Return whether this node relays state for its failure domain."""
@@ -104,7 +110,10 @@
         if report.member.vm != self._membership.own.vm:
             self.joined.set()
         self._aggregate.apply_report(report)
-        return self._aggregate.make_fleet_digest(report)
+        self._plan_feed.pull_if_newer(report.member.vm, report.plan_version)
+        return self._aggregate.make_fleet_digest(
+            report, own_plan_age_ms=self._plan_feed.age_ms()
+        )
 
     def handle_domain_digest(
         self, vm: str, digest: DomainDigest
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -181,6 +181,7 @@
             member=self._membership.own,
             members=members,
             plan_version=self._plan_feed.current.version,
+            plan_age_ms=self._plan_feed.age_ms(),
             counts=self._quota.report(is_full=is_full),
             fan_outs=self._overload.own_fan_outs(),
             shed_fraction=self._overload.update_own_shed_fraction(load),
@@ -220,6 +221,7 @@
             if target.vm != own_vm:
                 self._estimates.record_load(target.vm, target.load)
         self._record_silent(vm, digest.silent_vms)
+        self._relay.record_plan_age(digest.plan_age_ms)
         self._plan_feed.pull_if_newer(vm, digest.plan_version)
 
     def _record_silent(
--- a/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -12,6 +12,7 @@
     PlanPull,
     PlanText,
     StoreError,
+    loop_ms,
 )
 
 from chivelead_node._internal.events import EventLog
@@ -20,8 +21,9 @@
 logger = logging.getLogger(__name__)
 
 # A watch may hear nothing without failing.  It ends after this part of the time
-# in which a plan must take effect; the rest is for passing it on.
-_WATCH_FRACTION = 0.45
+# in which a plan must take effect; the rest is for passing it on, or for a
+# standby to notice that the watch fails.
+_WATCH_FRACTION = 0.35
 # While another node watches for the failure domain.
 _ROLE_CHECK_PERIOD_S = 0.1
 _PULL_TIMEOUT_MS = 1000
@@ -41,6 +43,10 @@
         network: Links to other nodes.
         events: Event log.
         bound_ms: Time in which a new plan must take effect everywhere.
+
+    Attributes:
+        current: Plan in force.
+        watch_timeout_ms: Time after which a watch without changes ends.
     """
 
     def __init__(  # noqa: WPS211
@@ -54,13 +60,14 @@
     ) -> None:
         """Create a feed without a plan."""
         self.current = EMPTY_PLAN
+        self.watch_timeout_ms = int(bound_ms * _WATCH_FRACTION)
         self._current_text = ''
         self._store = store
         self._key = key
         self._parse = parse
         self._network = network
         self._events = events
-        self._watch_timeout_ms = int(bound_ms * _WATCH_FRACTION)
+        self._store_heard_ms = loop_ms()
         self._listeners: list[PlanListener] = []
         self._watch_task: asyncio.Task[None] | None = None
         self._read_task: asyncio.Task[None] | None = None
@@ -93,6 +100,10 @@
         """Return the plan in force."""
         return self.current
 
+    def age_ms(self) -> float:
+        """Return the time since the store was last read or watched."""
+        return loop_ms() - self._store_heard_ms
+
     def add_listener(self, listener: PlanListener) -> None:
         """Call ``listener`` with each new plan that takes effect."""
         self._listeners.append(listener)
@@ -130,6 +141,7 @@
             except StoreError as error:
                 logger.debug('reading the plan failed: %s', error)
             else:
+                self._store_heard_ms = loop_ms()
                 if entry is not None:
                     self._apply_text(entry.text, 'store')
                     return
@@ -153,6 +165,7 @@
         """Read the plan, then watch it until a watch fails or is not due."""
         listing = await self._store.list_prefix(self._key)
         backoff.reset()
+        self._store_heard_ms = loop_ms()
         for entry in listing.entries:
             if entry.key == self._key:
                 self._apply_text(entry.text, 'store')
@@ -161,8 +174,9 @@
             changes = await self._store.watch_prefix(
                 self._key,
                 revision,
-                self._watch_timeout_ms,
+                self.watch_timeout_ms,
             )
+            self._store_heard_ms = loop_ms()
             if changes.revision > revision and not changes.changes:
                 # Other keys have changed, or the watch has missed something.
                 return
--- a/packages/protocol/src/chivelead_protocol/_internal/fleet_messages.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/fleet_messages.py
@@ -103,6 +103,8 @@
         member: Entry of the sender in the membership table.
         members: Entries that the relay seems to lack; usually empty.
         plan_version: Version of the traffic plan in force at the sender.
+        plan_age_ms: Time since the sender read or watched the plan in the
+            store.
         counts: Counters of the organisations whose requests the node received.
         fan_outs: Calls for each request, as estimated by the sender.
         shed_fraction: Fraction of the demand for the target's service that the
@@ -114,6 +116,7 @@
     member: Member
     members: tuple[Member, ...]
     plan_version: int
+    plan_age_ms: float
     counts: CountReport
     fan_outs: tuple[FanOutSum, ...]
     shed_fraction: float
@@ -131,6 +134,8 @@
         members: Entries that have changed.
         table_digest: Order-independent hash over the table of the relay.
         plan_version: Version of the traffic plan in force at the relay.
+        plan_age_ms: Least time since the relay, or a node that ranks before
+            the receiver, read or watched the plan in the store.
         heard_count: Nodes whose reports the relay received in time, directly
             or through relays of other failure domains.
         is_settled: Whether the relay has run long enough to have heard of the
@@ -149,6 +154,7 @@
     members: tuple[Member, ...]
     table_digest: int
     plan_version: int
+    plan_age_ms: float
     heard_count: int
     is_settled: bool
     is_counted: bool
