--- a/packages/coordination/tests/unit/test_fleet_quota.py
+++ b/packages/coordination/tests/unit/test_fleet_quota.py
@@ -46,6 +46,47 @@
     assert len(fleet.admitted) >= rate_per_s * 10 * 0.9
 
 
+# Guards against organisations that get more than the bound: a node learns a
+# second later what the others have admitted.
+@pytest.mark.parametrize(
+    ('rate_per_s', 'burst', 'seed'),
+    [(41, 41, 1), (99, 99, 1), (160, 80, 1), (20, 60, 2)],
+)
+async def test_surge_at_all_nodes_stays_within_bound(rate_per_s, burst, seed):
+    """Pattern: an organisation sends eight times its usual, everywhere."""
+    fleet = QuotaFleet(rate_per_s, burst, seed)
+    await fleet.start()
+    await fleet.offer(6, rate_per_s * 0.6, random_node)
+    await fleet.offer(6, rate_per_s * 4.8, random_node)
+    await fleet.close()
+    assert fleet.max_excess() <= 0
+
+
+# Guards against the same while demand stays far above a small rate.
+@pytest.mark.parametrize(
+    ('rate_per_s', 'burst', 'seed'),
+    [(10, 10, 1), (18, 18, 1), (41, 41, 1), (20, 60, 2)],
+)
+async def test_long_excess_stays_within_bound(rate_per_s, burst, seed):
+    fleet = QuotaFleet(rate_per_s, burst, seed)
+    await fleet.start()
+    await fleet.offer(16, rate_per_s * 5, random_node)
+    await fleet.close()
+    assert fleet.max_excess() <= 0
+
+
+# Guards against the same if the surge comes again and again.
+@pytest.mark.parametrize(('rate_per_s', 'burst'), [(18, 18), (20, 60)])
+async def test_repeated_surges_stay_within_bound(rate_per_s, burst):
+    fleet = QuotaFleet(rate_per_s, burst, seed=2)
+    await fleet.start()
+    for _ in range(4):
+        await fleet.offer(2, rate_per_s * 6, random_node)
+        await fleet.offer(2.5, rate_per_s * 0.3, random_node)
+    await fleet.close()
+    assert fleet.max_excess() <= 0
+
+
 @pytest.mark.parametrize('isolated_count', [1, 5, 8])
 async def test_excess_with_isolated_nodes_stays_within_bound(isolated_count):
     fleet = QuotaFleet(100, 100)
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -92,7 +92,7 @@
     requests either.
     """
 
-    def __init__(self, rate_per_s, burst):
+    def __init__(self, rate_per_s, burst, seed=1):
         """Create all nodes with full token buckets."""
         self.rate = FleetRate(rate_per_s, burst)
         self.boot_number = 1
@@ -103,7 +103,7 @@
         self.dead = set()
         self.admitted = []
         self.refused = []
-        self._random = random.Random(1)
+        self._random = random.Random(seed)
         self._tasks = []
 
     async def start(self):
