--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -60,7 +60,6 @@
     ``malformed_replies`` is set, every reply is HTML instead of JSON.  The next
     ``write_replies_to_drop`` writes take effect, but their replies are lost.
     While ``deaf_watches`` is set, watches report no changes.
-    While ``deaf_watches`` is set, watches report no changes.
     ``watch_counts`` counts the watch calls for each prefix.
     """
 
