--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -38,6 +38,9 @@
            421: 'Misdirected Request', 503: 'Service Unavailable'}
 
 
+_started = []                     # all processes of nodes, to end them
+
+
 class Record:
     """The file record.txt, with the time since the start of the script."""
 
@@ -448,6 +451,7 @@
         self._process = await asyncio.create_subprocess_exec(
             *shlex.split(role['run']), cwd=ROOT, env=env,
             stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+        _started.append(self._process)
         self.starts += 1
         self._record(f'platform: starts the node on {machine.name}, '
                      f'bootstrap {str(bootstrap).lower()}')
@@ -680,6 +684,8 @@
         async with asyncio.timeout(115):
             return await case(record)
 
+    # Ends the nodes also if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         status = asyncio.run(limited())
     except Exception as error:  # The case could not run.
@@ -687,6 +693,11 @@
         import traceback
         traceback.print_exc()
         return NOT_RUN
+    finally:
+        for process in _started:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGKILL)
     record({HELD: 'the rule held', BROKEN: 'the rule was broken',
             NOT_RUN: 'the case could not run'}[status])
     return status
