--- /dev/null
+++ b/tests/functional/test_platform_answers.py
@@ -0,0 +1,78 @@
+"""Tests of node processes: each answer reaches its reader."""
+
+import asyncio
+
+import pytest
+from lib.node_process import running_processes
+
+_ROUTES = (
+    ('/read/', 'stock', 'safe', {'timeout_ms': 5000}),
+    ('/book/', 'orders', 'unsafe', {'timeout_ms': 5000}),
+)
+# As on Ethernet; loopback would take megabytes into its buffers.
+_SMALL_WINDOW = {'segment_bytes': 1448, 'receive_buffer_bytes': 8192}
+
+
+@pytest.fixture
+async def fleet():
+    """Run two nodes, one beside each target."""
+    async with running_processes('stock', 'orders', routes=_ROUTES) as running:
+        yield running
+
+
+async def read_all(client, count):
+    """Return the statuses of the responses that come on a connection."""
+    statuses = []
+    try:
+        for _ in range(count):
+            statuses.append((await client.read_response())[0])
+    except (EOFError, OSError):
+        statuses.append('cut off')
+    client.close()
+    return statuses
+
+
+# Guards against answers that are lost because a client that has closed its
+# sending half counts as gone.
+@pytest.mark.parametrize(
+    ('method', 'path', 'delay_s'),
+    [('GET', '/read/x', 0.1), ('POST', '/book/x', 1)],
+)
+async def test_client_that_closes_its_sending_half_gets_its_answer(
+    fleet, method, path, delay_s
+):
+    for target in fleet.targets:
+        target.response_delay_s = delay_s
+    for index, _ in enumerate(fleet.nodes):
+        client = await fleet.connect(index)
+        await client.send_request(method, path)
+        client.close_sending_half()
+        assert await read_all(client, 1) == [200]
+
+
+# Guards against requests that a planned stop leaves without an answer: they
+# were read while an earlier one on their connection was in progress.
+async def test_requests_queued_on_a_connection_are_answered_at_a_stop(fleet):
+    fleet.targets[1].response_delay_s = 0.5
+    client = await fleet.connect(0)
+    for _ in range(3):
+        await client.send_request('POST', '/book/x')
+    await asyncio.sleep(0.2)
+    stopping = asyncio.create_task(fleet.nodes[0].terminate())
+    assert await read_all(client, 3) == [200, 200, 200]
+    assert await stopping == 0
+
+
+# Guards against answers that a planned stop cuts off since the process ends
+# with a part of them in its buffers.
+async def test_answer_that_is_read_slowly_is_whole_after_a_stop(fleet):
+    fleet.targets[0].response_size_bytes = 300_000
+    clients = [await fleet.connect(0, **_SMALL_WINDOW) for _ in range(3)]
+    for client in clients:
+        await client.send_request('GET', '/read/x')
+    await asyncio.sleep(0.5)
+    stopping = asyncio.create_task(fleet.nodes[0].terminate())
+    await asyncio.sleep(3.5)
+    for client in clients:
+        assert await read_all(client, 1) == [200]
+    assert await stopping == 0
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -275,8 +275,9 @@
 class FakeTarget:
     """HTTP server of one target.
 
-    Responses are sent after ``response_delay_s``.  A ``response_handler``
-    replaces the response and the delay, except for health probes, which fail
+    Responses are sent after ``response_delay_s``; they are padded to
+    ``response_size_bytes``.  A ``response_handler`` replaces the response and
+    the delay, except for health probes, which fail
     unless ``healthy`` is set.  ``received_requests`` holds each request, except
     health probes, with its body.  ``cancelled_count`` counts the requests that
     were cancelled during the delay.
@@ -289,6 +290,7 @@
         self.port = free_ports(1)[0]
         self.received_requests = []
         self.response_delay_s = 0.0
+        self.response_size_bytes = 0
         self.cancelled_count = 0
         self.response_handler = None
         self.healthy = True
@@ -337,7 +339,9 @@
     def make_response(self, request, **headers):
         """Return a successful response with the headers that targets send."""
         return web.Response(
-            text=f'{self.service} {request.raw_path}',
+            text=f'{self.service} {request.raw_path}'.ljust(
+                self.response_size_bytes
+            ),
             headers={
                 'X-Request-Id': request.headers['X-Request-Id'],
                 'X-Server-Stamp': 'stamp',
