--- a/tests/functional/test_platform_answers.py
+++ b/tests/functional/test_platform_answers.py
@@ -1,6 +1,7 @@
 """Tests of node processes: each answer reaches its reader."""
 
 import asyncio
+import types
 
 import pytest
 from lib.node_process import running_processes
@@ -10,7 +11,9 @@
     ('/book/', 'orders', 'unsafe', {'timeout_ms': 5000}),
 )
 # As on Ethernet; loopback would take megabytes into its buffers.
-_SMALL_WINDOW = {'segment_bytes': 1448, 'receive_buffer_bytes': 8192}
+_SMALL_WINDOW = types.MappingProxyType(
+    {'segment_bytes': 1448, 'receive_buffer_bytes': 8192}
+)
 
 
 @pytest.fixture
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -79,7 +79,9 @@
         self.vm = vm
         self.ip = f'127.{random.randrange(10, 250)}.{random.randrange(250)}.7'
         ports = free_ports(5)
-        self.callers_port, self.probes_port, self.announcements_port = ports[:3]
+        self.callers_port = ports[0]
+        self.probes_port = ports[1]
+        self.announcements_port = ports[2]
         self.target = target
         self.log_path = pathlib.Path(folder) / f'{vm}.log'
         self._settings_path = pathlib.Path(folder) / f'{vm}.toml'
@@ -297,8 +299,8 @@
         ]
         if method != 'GET':
             lines.append(f'Content-Length: {len(body)}')
-        head = '\r\n'.join(lines).encode()
-        await self.send(head + b'\r\n\r\n' + body)
+        lines.extend(('', ''))
+        await self.send('\r\n'.join(lines).encode() + body)
         return request_id
 
     async def send(self, raw):
