Log answers that are cut off, and what is unanswered at a stop

A connection now knows whether a request on it is unanswered, whether the kernel has taken all of its answer (writing is paused while it has not), and how many bytes the client has not acknowledged. New: answer-cut, the fields unanswered and undelivered_bytes of node-closed, and the gauge unanswered.

--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -36,6 +36,7 @@
     HttpServers,
     MetricsEndpoint,
 )
+from chivelead_node._internal.proxy.server_connections import ServerConnections
 
 logger = logging.getLogger(__name__)
 
@@ -74,6 +75,8 @@
         self._log_writer = LogWriter()
         self._components = build_components(settings, self._log_writer)
         self._servers = HttpServers()
+        self._caller_connections = ServerConnections(self._components.events)
+        self._control_connections = ServerConnections(self._components.events)
         self._peer_server = PeerServer(
             settings.vm,
             LINK_SECRET,
@@ -136,6 +139,8 @@
             'node-closed',
             waited_ms=round(now_ms() - shutdown_started_ms),
             in_flight=components.ingress.in_flight,
+            unanswered=self._caller_connections.count_unanswered(),
+            undelivered_bytes=self._caller_connections.undelivered_bytes(),
         )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
@@ -213,20 +218,28 @@
             self._is_ready,
             components.events,
         )
-        handlers_by_address = {
-            settings.callers_address: components.ingress.handle_request,
-            settings.probes_address: control_api.handle_request,
-            settings.announcements_address: control_api.handle_request,
-        }
         await self._peer_server.start(settings.host, settings.peer_port)
-        for address, request_handler in handlers_by_address.items():
+        await self._servers.listen(
+            settings.callers_address.host,
+            settings.callers_address.port,
+            components.ingress.handle_request,
+            self._caller_connections,
+        )
+        for address in (
+            settings.probes_address,
+            settings.announcements_address,
+        ):
             await self._servers.listen(
-                address.host, address.port, request_handler
+                address.host,
+                address.port,
+                control_api.handle_request,
+                self._control_connections,
             )
         await self._servers.listen(
             settings.host,
             METRICS_PORT,
             MetricsEndpoint(components.metrics).handle_request,
+            self._control_connections,
         )
 
     async def _handle_peer_request(self, vm: str, message: Any) -> Any:
@@ -307,6 +320,9 @@
             components.metrics.gauge(
                 'shed_part', components.overload.shed_controller.shed_part
             )
+            components.metrics.gauge(
+                'unanswered', self._caller_connections.count_unanswered()
+            )
             components.metrics.gauge(
                 'plan', components.plan_feed.current.version
             )
--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -11,6 +11,10 @@
 from chivelead_node._internal.proxy.departures import DepartureRecords
 from chivelead_node._internal.proxy.identifiers import is_identifier
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
+from chivelead_node._internal.proxy.server_connections import (
+    ConnectionServer,
+    ServerConnections,
+)
 from chivelead_node._internal.proxy.target_state import TargetStatePublisher
 
 METRICS_PATH = '/metrics'
@@ -55,15 +59,26 @@
         self._runners: list[web.ServerRunner] = []
 
     async def listen(
-        self, host: str, port: int, request_handler: RequestHandler
+        self,
+        host: str,
+        port: int,
+        request_handler: RequestHandler,
+        connections: ServerConnections,
     ) -> None:
         """Start a server on an address.
 
+        Args:
+            host: IP address.
+            port: Port.
+            request_handler: Handles each request.
+            connections: Set that the connections are added to.
+
         Raises:
             ConfigurationError: The port is in use.
         """
-        server = web.Server(
+        server = ConnectionServer(
             request_handler,
+            connections,
             handler_cancellation=True,
             keepalive_timeout=_IDLE_TIMEOUT_S,
             access_log=None,
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -7,6 +7,9 @@
 from chivelead_protocol._internal.clock import stamp_ms as stamp_ms
 from chivelead_protocol._internal.codec import decode_frame as decode_frame
 from chivelead_protocol._internal.codec import encode_frame as encode_frame
+from chivelead_protocol._internal.delivery import (
+    undelivered_bytes as undelivered_bytes,
+)
 from chivelead_protocol._internal.document_messages import (
     DocumentsOffer as DocumentsOffer,
 )
