--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -36,6 +36,7 @@
     HttpServers,
     MetricsEndpoint,
 )
+from chivelead_node._internal.proxy.request_drain import RequestDrain
 from chivelead_node._internal.proxy.server_connections import ServerConnections
 
 logger = logging.getLogger(__name__)
@@ -43,22 +44,9 @@
 # Must match the metrics port in deploy/system.toml.
 METRICS_PORT = 9464
 
-# The platform sends callers to another VM after two failed readiness probes,
-# one per second; until then, requests still arrive here.
-_CALLER_FAILOVER_MS = 2500.0
-# Of the time for requests in a short grace period, the part in which new ones
-# are taken; the rest is for those to end.
-_MAX_FAILOVER_FRACTION = 0.5
-# End of the grace period before SIGKILL that is reserved for closing the
-# components, and its largest part.
-_SHUTDOWN_RESERVE_MS = 800.0
-_MAX_SHUTDOWN_RESERVE_FRACTION = 0.15
-# Time to write the responses of requests that did not end by themselves.
-_LAST_RESPONSES_MS = 100.0
 # Components that do not close in time are abandoned: the process exits anyway,
 # and peers and the store detect the closed connections.
 _CLOSE_TIMEOUT_S = 0.3
-_IN_FLIGHT_POLL_PERIOD_S = 0.05
 _PUBLISH_PERIOD_S = 0.5
 
 
@@ -120,7 +108,7 @@
         self._start_tasks()
 
     async def close(self) -> None:
-        """Shut down after waiting for requests in flight.
+        """Shut down after waiting for the answers that are due.
 
         The wait ends shortly before the platform sends SIGKILL.
         """
@@ -134,7 +122,13 @@
         components.ingress.closing = True
         components.publisher.publish()
         components.membership.update_own(relay=False)
-        await self._wait_for_requests(shutdown_started_ms)
+        await RequestDrain(
+            self._settings.bounds.grace_ms,
+            components.ingress,
+            components.inbound,
+            self._caller_connections,
+            self._peer_server,
+        ).wait(shutdown_started_ms)
         components.events.record_node_event(
             'node-closed',
             waited_ms=round(now_ms() - shutdown_started_ms),
@@ -189,25 +183,6 @@
         await components.target.close()
         await components.store.close()
 
-    async def _wait_for_requests(self, shutdown_started_ms: float) -> None:
-        ingress = self._components.ingress
-        grace_ms = self._settings.bounds.grace_ms
-        time_for_requests_ms = grace_ms - min(
-            _SHUTDOWN_RESERVE_MS, grace_ms * _MAX_SHUTDOWN_RESERVE_FRACTION
-        )
-        refusing_from_ms = shutdown_started_ms + min(
-            _CALLER_FAILOVER_MS, time_for_requests_ms * _MAX_FAILOVER_FRACTION
-        )
-        end_ms = shutdown_started_ms + time_for_requests_ms
-        ingress.timeouts.limit(end_ms)
-        while now_ms() < end_ms + _LAST_RESPONSES_MS:
-            await asyncio.sleep(_IN_FLIGHT_POLL_PERIOD_S)
-            if now_ms() < refusing_from_ms:
-                continue
-            ingress.refusing = True
-            if not (ingress.in_flight or self._components.inbound.in_flight):
-                return
-
     async def _listen(self) -> None:
         settings = self._settings
         components = self._components
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
@@ -0,0 +1,84 @@
+"""The wait of a node that stops, until its answers are with their readers."""
+
+import asyncio
+
+from chivelead_protocol import PeerServer, now_ms
+
+from chivelead_node._internal.inbound import InboundCalls
+from chivelead_node._internal.proxy.ingress import ProxyIngress
+from chivelead_node._internal.proxy.server_connections import ServerConnections
+
+# The platform sends callers to another VM after two failed readiness probes,
+# one per second; until then, requests still arrive here.
+_CALLER_FAILOVER_MS = 2500.0
+# Of the time for requests in a short grace period, the part in which new ones
+# are taken; the rest is for those to end.
+_MAX_FAILOVER_FRACTION = 0.5
+# End of the grace period before SIGKILL that is reserved for closing the
+# components, and its largest part.
+_SHUTDOWN_RESERVE_MS = 800.0
+_MAX_SHUTDOWN_RESERVE_FRACTION = 0.15
+# Time to write the responses of requests that did not end by themselves.
+_LAST_RESPONSES_MS = 100.0
+_POLL_PERIOD_S = 0.05
+
+
+class RequestDrain:
+    """Takes requests for a while at a stop, then waits for the last answers.
+
+    An answer is with its reader once the reader's kernel has acknowledged its
+    last byte.
+
+    Args:
+        grace_ms: Time from the start of the stop until the process is killed.
+        ingress: Requests of callers and of the own target.
+        inbound: Calls to the own target.
+        callers: Connections of callers and of the own target.
+        peers: Links of the nodes that call the own target.
+    """
+
+    def __init__(
+        self,
+        grace_ms: float,
+        ingress: ProxyIngress,
+        inbound: InboundCalls,
+        callers: ServerConnections,
+        peers: PeerServer,
+    ) -> None:
+        """Create a drain that has not started."""
+        self._grace_ms = grace_ms
+        self._ingress = ingress
+        self._inbound = inbound
+        self._callers = callers
+        self._peers = peers
+
+    async def wait(self, started_ms: float) -> None:
+        """Return when all answers are with their readers, or time is up.
+
+        Args:
+            started_ms: Time at which the stop began, by ``now_ms``.
+        """
+        time_for_requests_ms = self._grace_ms - min(
+            _SHUTDOWN_RESERVE_MS,
+            self._grace_ms * _MAX_SHUTDOWN_RESERVE_FRACTION,
+        )
+        refusing_from_ms = started_ms + min(
+            _CALLER_FAILOVER_MS, time_for_requests_ms * _MAX_FAILOVER_FRACTION
+        )
+        end_ms = started_ms + time_for_requests_ms
+        self._ingress.timeouts.limit(end_ms)
+        while now_ms() < end_ms + _LAST_RESPONSES_MS:
+            await asyncio.sleep(_POLL_PERIOD_S)
+            if now_ms() < refusing_from_ms:
+                continue
+            self._ingress.refusing = True
+            if not self._is_answer_due():
+                return
+
+    def _is_answer_due(self) -> bool:
+        return bool(
+            self._inbound.in_flight
+            or self._callers.count_unanswered()
+            or self._callers.undelivered_bytes()
+            or self._peers.count_due_replies()
+        )
--- a/packages/protocol/src/chivelead_protocol/_internal/channel.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -17,6 +17,7 @@
 from websockets.uri import parse_uri
 
 from chivelead_protocol._internal.clock import now_ms
+from chivelead_protocol._internal.delivery import undelivered_bytes
 from chivelead_protocol._internal.exceptions import (
     LinkLostError,
     LinkNotOpenError,
@@ -33,6 +34,7 @@
 
     Attributes:
         last_received_ms: Time at which data last arrived, by ``now_ms``.
+        sent_bytes: Total size of what was sent, delivered or not.
         on_frame: Called with the payload of each binary frame.
         on_close: Called once when the connection has closed.
     """
@@ -40,6 +42,7 @@
     def __init__(self, protocol: ClientProtocol | ServerProtocol) -> None:
         """Initialise the channel; the event loop connects it."""
         self.last_received_ms = now_ms()
+        self.sent_bytes = 0
         self.on_frame: FrameHandler = _ignore_frame
         self.on_close: Callable[[], None] = _ignore_close
         self._protocol = protocol
@@ -56,6 +59,13 @@
             return 'unknown'
         return str(self._transport.get_extra_info('peername'))
 
+    @property
+    def delivered_bytes(self) -> int:
+        """Return how many of the bytes sent the peer has acknowledged."""
+        if self._transport is None:
+            return self.sent_bytes
+        return self.sent_bytes - undelivered_bytes(self._transport)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the websocket handshake if this is the client."""
         self._transport = cast('asyncio.Transport', transport)
@@ -183,6 +193,7 @@
             if transport is None:
                 return
             if chunk:
+                self.sent_bytes += len(chunk)
                 transport.write(chunk)
             elif transport.can_write_eof():
                 transport.write_eof()
--- a/packages/protocol/src/chivelead_protocol/_internal/link_server.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link_server.py
@@ -51,6 +51,7 @@
         self._message_handler = message_handler
         self._server: asyncio.Server | None = None
         self._sessions: dict[Channel, asyncio.Task[None]] = {}
+        self._links: set[_Session] = set()
 
     @property
     def port(self) -> int:
@@ -79,6 +80,10 @@
         """Return the open connections, including those in the handshake."""
         return tuple(self._sessions)
 
+    def count_due_replies(self) -> int:
+        """Return the links whose peer still lacks a reply."""
+        return sum(link.is_reply_due() for link in self._links)
+
     def _accept(self) -> Channel:
         channel = server_channel()
         task = asyncio.create_task(self._serve(channel))
@@ -106,9 +111,12 @@
             )
             channel.close()
             return
-        await _Session(
-            channel, peer_vm, self._clock, self._message_handler
-        ).run(frames)
+        link = _Session(channel, peer_vm, self._clock, self._message_handler)
+        self._links.add(link)
+        try:
+            await link.run(frames)
+        finally:
+            self._links.discard(link)
 
 
 class _Session:
@@ -128,6 +136,19 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
         self._last_received_ms = now_ms()
+        # Bytes sent on the channel up to the end of the last reply to a call.
+        self._call_reply_end_bytes = 0
+
+    def is_reply_due(self) -> bool:
+        """Return whether the peer lacks a reply, or a part of one to a call.
+
+        The replies to other messages follow each other closely on a link, and
+        the peer does without the last one.
+        """
+        return (
+            bool(self._tasks)
+            or self._channel.delivered_bytes < self._call_reply_end_bytes
+        )
 
     async def run(self, frames: FrameQueue) -> None:
         """Handle messages until the connection closes or times out."""
@@ -192,3 +213,5 @@
         raw = encode_frame(-sequence, self._clock.stamp(), reply)
         with contextlib.suppress(LinkLostError):
             self._channel.send(raw)
+        if isinstance(reply, messages.CallReply):
+            self._call_reply_end_bytes = self._channel.sent_bytes
--- a/packages/protocol/tests/unit/test_link.py
+++ b/packages/protocol/tests/unit/test_link.py
@@ -1,5 +1,6 @@
 """Links authenticate both ends and detect a peer that stops responding."""
 
+import asyncio
 import time
 
 import pytest
@@ -7,6 +8,7 @@
 from chivelead_protocol import (
     Acknowledged,
     AuthenticationError,
+    CallReply,
     HybridClock,
     LinkLostError,
     PeerLink,
@@ -61,6 +63,31 @@
     await server.close()
 
 
+# Guards against replies that a node which stops cuts off: its part in the call
+# had ended, but the peer had not read all of the reply.
+async def test_reply_to_a_call_is_due_until_the_peer_has_all_of_it():
+    reply = CallReply(200, (), b'x' * 20_000_000, 'done', '', 0, 0, 0, 0, 0)
+
+    async def reply_to_call(vm, body):
+        return reply
+
+    server, port = await start_server(reply_to_call)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    assert not server.count_due_replies()
+    link._channel._transport.pause_reading()
+    requesting = asyncio.create_task(link.request(StatusQuery(), 5000))
+    await asyncio.sleep(0.5)
+    assert server.count_due_replies() == 1
+    link._channel._transport.resume_reading()
+    assert await requesting == reply
+    async with asyncio.timeout(1):
+        while server.count_due_replies():
+            await asyncio.sleep(0.01)
+    await link.close()
+    await server.close()
+
+
 def test_now_ms_advances_within_one_iteration_of_uvloop():
     async def measure_blocking_sleep():
         before_ms = now_ms()
