--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -119,7 +119,7 @@
         )
         self._stopping = True
         components.inbound.draining = True
-        components.ingress.closing = True
+        self._caller_connections.closing = True
         components.publisher.publish()
         components.membership.update_own(relay=False)
         await RequestDrain(
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -91,8 +91,6 @@
     ) -> None:
         """Create an ingress without a plan, which refuses all requests."""
         self.in_flight = 0
-        # During shutdown: close each connection after its next response.
-        self.closing = False
         # Late in the shutdown: refuse new requests.
         self.refusing = False
         self.timeouts = RequestTimeouts()
@@ -138,15 +136,12 @@
         request_id = request.headers.get(self._header_names.request_id, '')
         self.in_flight += 1
         try:
-            response = await self._respond(request, request_id, arrived_ms)
+            return await self._respond(request, request_id, arrived_ms)
         except asyncio.CancelledError:
             self._record_end(request_id, arrived_ms, 'caller-gone', status=0)
             raise
         finally:
             self.in_flight -= 1
-        if self.closing:
-            response.force_close()
-        return response
 
     async def _respond(
         self,
--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
@@ -15,10 +15,15 @@
 
     Args:
         events: Event log.
+
+    Attributes:
+        closing: Whether each connection is closed after the answers that are
+            due on it.
     """
 
     def __init__(self, events: EventLog) -> None:
         """Create an empty set."""
+        self.closing = False
         self._events = events
         self._connections: set[ServerConnection] = set()
 
@@ -105,6 +110,17 @@
         self._connections.add(self)
         super().connection_made(transport)
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response; the last one closes the connection."""
+        if self._connections.closing and not self._messages:
+            resp.force_close()
+        return await super().finish_response(request, resp, start_time)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
         self._connections.discard(self, exc)
