--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -63,7 +63,9 @@
         self._log_writer = LogWriter()
         self._components = build_components(settings, self._log_writer)
         self._servers = HttpServers()
-        self._caller_connections = ServerConnections(self._components.events)
+        self._caller_connections = ServerConnections(
+            self._components.events, self._components.ingress.handle_input_end
+        )
         self._control_connections = ServerConnections(self._components.events)
         self._peer_server = PeerServer(
             settings.vm,
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import cast
 
 from aiohttp import web
 from chivelead_config import (
@@ -26,6 +27,7 @@
     response_from_refusal,
     response_from_reply,
 )
+from chivelead_node._internal.proxy.server_connections import ServerConnection
 from chivelead_node._internal.requests import read_body
 
 _UNAUTHORISED = 401
@@ -46,6 +48,8 @@
 # By then, a node without a plan has received one, and a node that is shutting
 # down no longer gets requests.
 _UNAVAILABLE_RETRY_AFTER_MS = 200.0
+# Time for the answer to an idempotent request whose caller sends nothing more.
+_INPUT_END_GRACE_MS = 250.0
 _SEED_BITS = 32
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -143,6 +147,14 @@
         finally:
             self.in_flight -= 1
 
+    def handle_input_end(self, connection: ServerConnection) -> None:
+        """End an idempotent request soon if its caller sends nothing more.
+
+        A caller that has gone can't be told from one that only closes its
+        sending half and still reads.
+        """
+        self.timeouts.limit_step(connection, loop_ms() + _INPUT_END_GRACE_MS)
+
     async def _respond(
         self,
         request: web.BaseRequest,
@@ -164,7 +176,9 @@
             return response_from_refusal(refusal)
         self._buffered_bytes += len(call.body)
         try:
-            reply = await self._run(call)
+            reply = await self._run(
+                call, cast('ServerConnection', request.protocol)
+            )
         finally:
             self._buffered_bytes -= len(call.body)
         response = response_from_reply(reply)
@@ -182,16 +196,23 @@
         )
         return response
 
-    async def _run(self, call: calls.Call) -> CallReply:
+    async def _run(
+        self, call: calls.Call, connection: ServerConnection
+    ) -> CallReply:
+        steps = self._outbound.run(call)
         try:
-            return await self.timeouts.run(
-                self._outbound.run(call), call.deadline_ms
-            )
+            # Cancelling a request that must run once has no benefit.
+            if not call.idempotent:
+                return await self.timeouts.run(steps, call.deadline_ms)
+            end_ms = call.deadline_ms
+            if connection.input_ended:
+                end_ms = min(end_ms, loop_ms() + _INPUT_END_GRACE_MS)
+            return await self.timeouts.run(steps, end_ms, connection)
         except TimeoutError:
             return calls.refusal_reply(
                 calls.Refusal(
                     _GATEWAY_TIMEOUT,
-                    'timeout',
+                    'caller-gone' if connection.input_ended else 'timeout',
                     Outcome.unknown,
                     'no answer came in time',
                 ),
--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
@@ -1,9 +1,10 @@
 """Connections of an HTTP server, and the answers that are due on them."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 from chivelead_protocol import undelivered_bytes
 
@@ -15,16 +16,23 @@
 
     Args:
         events: Event log.
+        on_input_end: Called when a client closes its sending half while an
+            answer to it is due.
 
     Attributes:
         closing: Whether each connection is closed after the answers that are
             due on it.
     """
 
-    def __init__(self, events: EventLog) -> None:
+    def __init__(
+        self,
+        events: EventLog,
+        on_input_end: Callable[['ServerConnection'], None] | None = None,
+    ) -> None:
         """Create an empty set."""
         self.closing = False
         self._events = events
+        self._on_input_end = on_input_end
         self._connections: set[ServerConnection] = set()
 
     def add(self, connection: 'ServerConnection') -> None:
@@ -45,6 +53,11 @@
                 error=repr(error) if error else 'closed',
             )
 
+    def record_input_end(self, connection: 'ServerConnection') -> None:
+        """Handle the end of what a client sends before it has its answers."""
+        if self._on_input_end is not None:
+            self._on_input_end(connection)
+
     def count_unanswered(self) -> int:
         """Return the connections with a request that is not answered."""
         return sum(
@@ -66,6 +79,9 @@
         connections: Set that the connection belongs to while it is open.
         manager: Server that accepted the connection.
         options: Options of the base class.
+
+    Attributes:
+        input_ended: Whether the client has closed its sending half.
     """
 
     def __init__(
@@ -77,7 +93,9 @@
         """Create a handler that the event loop will connect."""
         super().__init__(manager, **options)
         self._connections = connections
+        self.input_ended = False
         self._open_transport: asyncio.Transport | None = None
+        self._last_body: StreamReader | None = None
 
     @property
     def client(self) -> str:
@@ -110,6 +128,26 @@
         self._connections.add(self)
         super().connection_made(transport)
 
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Parse received bytes."""
+        super().data_received(data)
+        if self._messages:
+            self._last_body = self._messages[-1][1]
+
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Handle the end of what the client sends.
+
+        Returns:
+            Whether to keep the connection, because answers are due on it.
+        """
+        body = self._last_body
+        is_whole = body is not None and body.is_eof()
+        if not is_whole or not self.has_unanswered_request:
+            return False
+        self.input_ended = True
+        self._connections.record_input_end(self)
+        return True
+
     async def finish_response(
         self,
         request: web.BaseRequest,
@@ -117,7 +155,8 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; the last one closes the connection."""
-        if self._connections.closing and not self._messages:
+        is_last = self.input_ended or self._connections.closing
+        if is_last and not self._messages:
             resp.force_close()
         return await super().finish_response(request, resp, start_time)
 
--- a/tests/functional/test_platform_answers.py
+++ b/tests/functional/test_platform_answers.py
@@ -53,6 +53,20 @@
         assert await read_all(client, 1) == [200]
 
 
+# Guards against work that goes on for callers that have gone, which look the
+# same until something is sent to them.
+async def test_long_idempotent_request_ends_soon_after_the_sending_half(fleet):
+    fleet.targets[0].response_delay_s = 3
+    for index, _ in enumerate(fleet.nodes):
+        client = await fleet.connect(index)
+        await client.send_request('GET', '/read/x')
+        client.close_sending_half()
+        async with asyncio.timeout(0.5):
+            assert await read_all(client, 1) == [504]
+        await asyncio.sleep(0.1)
+        assert fleet.targets[0].cancelled_count == index + 1
+
+
 # Guards against requests that a planned stop leaves without an answer: they
 # were read while an earlier one on their connection was in progress.
 async def test_requests_queued_on_a_connection_are_answered_at_a_stop(fleet):
