--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
@@ -6,9 +6,11 @@
 
 from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
-from chivelead_protocol import undelivered_bytes
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.proxy.lingering_transport import (
+    LingeringTransport,
+)
 
 
 class ServerConnections:
@@ -79,9 +81,6 @@
         connections: Set that the connection belongs to while it is open.
         manager: Server that accepted the connection.
         options: Options of the base class.
-
-    Attributes:
-        input_ended: Whether the client has closed its sending half.
     """
 
     def __init__(
@@ -93,8 +92,7 @@
         """Create a handler that the event loop will connect."""
         super().__init__(manager, **options)
         self._connections = connections
-        self.input_ended = False
-        self._open_transport: asyncio.Transport | None = None
+        self._open_transport: LingeringTransport | None = None
         self._last_body: StreamReader | None = None
 
     @property
@@ -102,9 +100,18 @@
         """Return the address of the client, for log messages."""
         return str(self.peername)
 
+    @property
+    def input_ended(self) -> bool:
+        """Return whether the client has closed its sending half."""
+        transport = self._open_transport
+        return transport is not None and transport.input_ended
+
     @property
     def has_unanswered_request(self) -> bool:
         """Return whether a request was read and its answer not written."""
+        transport = self._open_transport
+        if transport is None or transport.is_lingering:
+            return False
         return self._waiter is None or bool(self._messages)
 
     @property
@@ -116,20 +123,25 @@
         """Return the bytes that the client has not acknowledged."""
         if self._open_transport is None:
             return 0
-        return undelivered_bytes(self._open_transport)
+        return self._open_transport.undelivered_bytes()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to handle requests."""
-        open_transport = cast('asyncio.Transport', transport)
+        open_transport = LingeringTransport(
+            cast('asyncio.Transport', transport)
+        )
         self._open_transport = open_transport
         # Writing is paused whenever the kernel has not taken everything, so an
         # answer has been written once it is with the kernel.
         open_transport.set_write_buffer_limits(0)
         self._connections.add(self)
-        super().connection_made(transport)
+        super().connection_made(cast('asyncio.Transport', open_transport))
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
-        """Parse received bytes."""
+        """Parse received bytes; ignore those after the last request."""
+        transport = self._open_transport
+        if transport is not None and transport.is_lingering:
+            return
         super().data_received(data)
         if self._messages:
             self._last_body = self._messages[-1][1]
@@ -140,11 +152,12 @@
         Returns:
             Whether to keep the connection, because answers are due on it.
         """
+        transport = self._open_transport
         body = self._last_body
         is_whole = body is not None and body.is_eof()
-        if not is_whole or not self.has_unanswered_request:
+        if transport is None or not is_whole or not self.has_unanswered_request:
             return False
-        self.input_ended = True
+        transport.input_ended = True
         self._connections.record_input_end(self)
         return True
 
@@ -163,7 +176,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
         self._connections.discard(self, exc)
-        self._open_transport = None
+        if self._open_transport is not None:
+            self._open_transport.release()
+            self._open_transport = None
         super().connection_lost(exc)
 
 
--- a/tests/functional/test_platform_answers.py
+++ b/tests/functional/test_platform_answers.py
@@ -93,3 +93,15 @@
     for client in clients:
         assert await read_all(client, 1) == [200]
     assert await stopping == 0
+
+
+# Guards against resets that overtake an answer: the kernel resets a closed
+# connection on which more bytes arrive, and discards what it still has to send.
+async def test_bytes_after_the_last_request_do_not_cut_off_its_answer(fleet):
+    fleet.targets[0].response_size_bytes = 100_000
+    client = await fleet.connect(0, **_SMALL_WINDOW)
+    await client.send_request('GET', '/read/x', headers=['Connection: close'])
+    for _ in range(3):
+        await asyncio.sleep(0.3)
+        await client.send(b'GET /read/y HTTP/1.1\r\n')
+    assert await read_all(client, 1) == [200]
