--- a/packages/node/src/chivelead_node/_internal/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/daemon.py
@@ -22,6 +22,10 @@
 
 from chivelead_node._internal.components import Components, build_components
 from chivelead_node._internal.peer_handlers import handle_peer_message
+from chivelead_node._internal.server_connections import (
+    ConnectionServer,
+    ServerConnections,
+)
 from chivelead_node._internal.targets import (
     BadAnnouncementError,
     parse_announcement,
@@ -77,6 +81,7 @@
             self.components.clock,
             self._handle_peer_message,
         )
+        self._connections = ServerConnections(self.components.events)
         self._runners: list[web.ServerRunner] = []
         self._sites: list[web.TCPSite] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -118,7 +123,7 @@
         """Drain requests in flight, hand over state and shut down."""
         components = self.components
         components.events.record_node_event('node-closing')
-        components.ingress.closing = True
+        self._connections.closing = True
         components.set_draining(draining=True)
         # Other nodes learn of the drain first, so that they route new calls
         # elsewhere while this node completes the calls in flight.
@@ -173,8 +178,9 @@
             if field == 'local_port'
             else ingress.handle_caller_request
         )
-        server = web.Server(
+        server = ConnectionServer(
             handle_request,
+            self._connections,
             handler_cancellation=True,
             keepalive_timeout=(
                 self._settings.limits.caller_idle_ms / _MS_PER_S
@@ -273,17 +279,27 @@
 
         Returns after the shutdown timeout even if requests remain.
         """
-        components = self.components
         deadline_ms = now_ms() + self._settings.limits.shutdown_timeout_ms
         last_busy_ms = now_ms()
         while (
             now_ms() < deadline_ms
             and now_ms() - last_busy_ms < _IDLE_BEFORE_STOP_MS
         ):
-            if components.ingress.in_flight or components.inbound.in_flight:
+            if self._is_answer_due():
                 last_busy_ms = now_ms()
             await asyncio.sleep(_IDLE_POLL_PERIOD_S)
 
+    def _is_answer_due(self) -> bool:
+        components = self.components
+        # A call with an idempotency key goes on without its caller.
+        in_flight = components.ingress.in_flight + components.inbound.in_flight
+        return bool(
+            in_flight
+            or self._connections.count_unanswered()
+            or self._connections.undelivered_bytes()
+            or self._peer_server.count_due_replies()
+        )
+
     async def _gossip_to_nearest(self) -> None:
         components = self.components
         own = components.membership.own
--- a/packages/node/src/chivelead_node/_internal/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/ingress.py
@@ -72,7 +72,6 @@
     ) -> None:
         """Create an ingress without configuration documents."""
         self.in_flight = 0
-        self.closing = False
         self.has_stale_documents = False
         self._outbound = outbound
         self._inbound = inbound
@@ -127,8 +126,6 @@
             self.in_flight -= 1
         self._metrics.timing('call', now_ms() - started_ms)
         self._metrics.count(f'status.{response.status}')
-        if self.closing:
-            response.force_close()
         return response
 
     async def _run_root_request(
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -37,7 +37,7 @@
     MetricsEndpoint,
 )
 from chivelead_node._internal.proxy.request_drain import RequestDrain
-from chivelead_node._internal.proxy.server_connections import ServerConnections
+from chivelead_node._internal.server_connections import ServerConnections
 
 logger = logging.getLogger(__name__)
 
--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -11,11 +11,11 @@
 from chivelead_node._internal.proxy.departures import DepartureRecords
 from chivelead_node._internal.proxy.identifiers import is_identifier
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
-from chivelead_node._internal.proxy.server_connections import (
+from chivelead_node._internal.proxy.target_state import TargetStatePublisher
+from chivelead_node._internal.server_connections import (
     ConnectionServer,
     ServerConnections,
 )
-from chivelead_node._internal.proxy.target_state import TargetStatePublisher
 
 METRICS_PATH = '/metrics'
 
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -27,8 +27,11 @@
     response_from_refusal,
     response_from_reply,
 )
-from chivelead_node._internal.proxy.server_connections import ServerConnection
 from chivelead_node._internal.requests import read_body
+from chivelead_node._internal.server_connections import (
+    INPUT_END_GRACE_MS,
+    ServerConnection,
+)
 
 _UNAUTHORISED = 401
 _NOT_FOUND = 404
@@ -48,8 +51,6 @@
 # By then, a node without a plan has received one, and a node that is shutting
 # down no longer gets requests.
 _UNAVAILABLE_RETRY_AFTER_MS = 200.0
-# Time for the answer to an idempotent request whose caller sends nothing more.
-_INPUT_END_GRACE_MS = 250.0
 _SEED_BITS = 32
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -148,12 +149,8 @@
             self.in_flight -= 1
 
     def handle_input_end(self, connection: ServerConnection) -> None:
-        """End an idempotent request soon if its caller sends nothing more.
-
-        A caller that has gone can't be told from one that only closes its
-        sending half and still reads.
-        """
-        self.timeouts.limit_step(connection, loop_ms() + _INPUT_END_GRACE_MS)
+        """End an idempotent request soon, as its caller may have gone."""
+        self.timeouts.limit_step(connection, loop_ms() + INPUT_END_GRACE_MS)
 
     async def _respond(
         self,
@@ -206,7 +203,7 @@
                 return await self.timeouts.run(steps, call.deadline_ms)
             end_ms = call.deadline_ms
             if connection.input_ended:
-                end_ms = min(end_ms, loop_ms() + _INPUT_END_GRACE_MS)
+                end_ms = min(end_ms, loop_ms() + INPUT_END_GRACE_MS)
             return await self.timeouts.run(steps, end_ms, connection)
         except TimeoutError:
             return calls.refusal_reply(
--- a/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
@@ -6,7 +6,7 @@
 
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.proxy.ingress import ProxyIngress
-from chivelead_node._internal.proxy.server_connections import ServerConnections
+from chivelead_node._internal.server_connections import ServerConnections
 
 # The platform sends callers to another VM after two failed readiness probes,
 # one per second; until then, requests still arrive here.
--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -8,10 +8,15 @@
 from aiohttp.web_protocol import RequestHandler
 
 from chivelead_node._internal.events import EventLog
-from chivelead_node._internal.proxy.lingering_transport import (
+from chivelead_node._internal.lingering_transport import (
     LingeringTransport,
 )
 
+# Time for the answer to a client that sends nothing more.  One that has gone
+# can't be told from one that only closes its sending half and still reads.
+INPUT_END_GRACE_MS = 250.0
+_MS_PER_S = 1000
+
 
 class ServerConnections:
     """The open connections of an HTTP server.
@@ -19,7 +24,8 @@
     Args:
         events: Event log.
         on_input_end: Called when a client closes its sending half while an
-            answer to it is due.
+            answer to it is due; by default its connection is closed after
+            ``INPUT_END_GRACE_MS``, which cancels what it waits for.
 
     Attributes:
         closing: Whether each connection is closed after the answers that are
@@ -59,6 +65,10 @@
         """Handle the end of what a client sends before it has its answers."""
         if self._on_input_end is not None:
             self._on_input_end(connection)
+            return
+        asyncio.get_running_loop().call_later(
+            INPUT_END_GRACE_MS / _MS_PER_S, connection.force_close
+        )
 
     def count_unanswered(self) -> int:
         """Return the connections with a request that is not answered."""
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -172,6 +172,22 @@
     assert (await run_cli(fleet, 'history'))[1].count('version=') == 4
 
 
+async def check_half_closing_caller(fleet):
+    """Check that a caller that closes its sending half gets its answer."""
+    for entry_url in fleet.layout.entry_urls():
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', int(entry_url.rpartition(':')[2])
+        )
+        writer.write(
+            'GET /orders/low HTTP/1.1\r\nHost: x\r\n'
+            f'Authorization: Bearer {fleet.layout.organisations[0].key}'
+            '\r\n\r\n'.encode()
+        )
+        writer.write_eof()
+        assert (await reader.read()).startswith(b'HTTP/1.1 200 ')
+        writer.close()
+
+
 async def test_fleet(tmp_path):
     fleet = Fleet(plan_layout(small_layout()))
     load_generator = LoadGenerator(3)
@@ -191,6 +207,7 @@
         ]
         await load_generator.run(streams, 3)
         await check_refusals(fleet)
+        await check_half_closing_caller(fleet)
         await check_commands(fleet, tmp_path)
         assert await fleet.terminate('orders-1') == 0
         await load_generator.close()
