--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -82,6 +82,7 @@
             handler_cancellation=True,
             keepalive_timeout=_IDLE_TIMEOUT_S,
             access_log=None,
+            auto_decompress=False,
             max_line_size=_HEADER_LIMIT_BYTES,
             max_field_size=_HEADER_LIMIT_BYTES,
         )
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -33,12 +33,13 @@
 
     Args:
         services: Service of the target on each VM.
+        target_type: Type of the targets.
     """
 
-    def __init__(self, *services):
+    def __init__(self, *services, target_type=FakeTarget):
         """Create the store and the targets without starting them."""
         self.store = FakePlatformStore()
-        self.targets = [FakeTarget(service) for service in services]
+        self.targets = [target_type(service) for service in services]
         self.settings = []
         self.nodes = []
         self.session = None
@@ -223,9 +224,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(*services, **options):
+async def running_fleet(*services, target_type=FakeTarget, **options):
     """Run a fleet for the duration of a test."""
-    fleet = PlatformFleet(*services)
+    fleet = PlatformFleet(*services, target_type=target_type)
     await fleet.start(**options)
     try:
         yield fleet
