--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -20,6 +20,7 @@
     CallReply,
     CallRequest,
     ChiveleadError,
+    EncodingError,
     LinkNotOpenError,
     Member,
     Outcome,
@@ -41,6 +42,11 @@
 # Reasons of refusals that come from the target rather than from a node.
 _REFUSALS_BY_TARGET = frozenset(('target-overload', 'target-refused'))
 
+# Reasons of failures that say nothing about the target.
+_DELIVERY_FAILURES = frozenset(
+    ('unreachable', 'link-lost', 'not-encodable', 'timeout'),
+)
+
 LocalHandler = Callable[[CallRequest], Coroutine[Any, Any, CallReply]]
 
 
@@ -282,7 +288,12 @@
     async def _deliver(self, vm: str, request: CallRequest) -> CallReply:
         if vm == self._membership.own.vm:
             return await self._run_locally(request)
-        reply = await self._links.request(vm, request, request.timeout_ms)
+        try:
+            reply = await self._links.request(vm, request, request.timeout_ms)
+        except EncodingError:
+            return _delivery_failure(
+                _UNAVAILABLE, 'not-encodable', Outcome.not_run
+            )
         if not isinstance(reply, CallReply):
             raise ChiveleadError(f'call {vm}', 'the reply is not a CallReply')
         return reply
@@ -313,7 +324,7 @@
         reply: CallReply,
         elapsed_ms: float,
     ) -> None:
-        if reply.reason in {'unreachable', 'link-lost', 'timeout'}:
+        if reply.reason in _DELIVERY_FAILURES:
             return
         self._notices.record_reply(vm, reply)
         self._estimates.record_reply(vm, reply, elapsed_ms)
@@ -366,6 +377,7 @@
         'deadline': 'the time left does not suffice',
         'unreachable': "the target's node cannot be reached",
         'timeout': 'no answer came in time',
+        'not-encodable': 'the request cannot be sent over a link',
         'link-lost': "the link to the target's node was lost",
     }
     return calls.refusal_reply(
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -31,6 +31,9 @@
 from chivelead_protocol._internal.exceptions import (
     ConfigurationError as ConfigurationError,
 )
+from chivelead_protocol._internal.exceptions import (
+    EncodingError as EncodingError,
+)
 from chivelead_protocol._internal.exceptions import (
     HistoryLostError as HistoryLostError,
 )
--- a/packages/protocol/src/chivelead_protocol/_internal/channel.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -19,6 +19,7 @@
 from chivelead_protocol._internal.clock import now_ms
 from chivelead_protocol._internal.delivery import undelivered_bytes
 from chivelead_protocol._internal.exceptions import (
+    EncodingError,
     LinkLostError,
     LinkNotOpenError,
 )
@@ -119,8 +120,15 @@
         """Send one binary frame.
 
         Raises:
+            EncodingError: The frame is too large; the peer would close the
+                connection, which carries the calls of others too.
             LinkLostError: The connection is closed.
         """
+        if len(raw) > MAX_FRAME_BYTES:
+            raise EncodingError(
+                'send a frame',
+                f'{len(raw)} bytes are more than {MAX_FRAME_BYTES}',
+            )
         if self._transport is None:
             raise LinkLostError('send a frame', 'the link is closed')
         try:
--- a/packages/protocol/src/chivelead_protocol/_internal/codec.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/codec.py
@@ -13,7 +13,10 @@
 
 import cbor2
 
-from chivelead_protocol._internal.exceptions import ProtocolError
+from chivelead_protocol._internal.exceptions import (
+    EncodingError,
+    ProtocolError,
+)
 
 _Message = TypeVar('_Message', bound=type)
 _Converter = Callable[[Any], Any]
@@ -85,11 +88,17 @@
 
 
 def encode_frame(sequence: int, stamp: int, body: Any) -> bytes:
-    """Return one message encoded as a frame."""
-    layout = _layouts_by_type[type(body)]
-    return cbor2.dumps(
-        [sequence, stamp, layout.code, *_encode_fields(layout, body)]
-    )
+    """Return one message encoded as a frame.
+
+    Raises:
+        EncodingError: A field holds a value that frames cannot hold.
+    """
+    try:
+        return _encode_elements(sequence, stamp, body)
+    except Exception as error:
+        raise EncodingError(
+            f'encode {type(body).__name__}', str(error)
+        ) from error
 
 
 def decode_frame(raw: bytes) -> Frame:
@@ -115,6 +124,12 @@
     )
 
 
+def _encode_elements(sequence: int, stamp: int, body: Any) -> bytes:
+    layout = _layouts_by_type[type(body)]
+    elements = [sequence, stamp, layout.code, *_encode_fields(layout, body)]
+    return cbor2.dumps(elements)
+
+
 def _encode_fields(layout: _MessageLayout, body: Any) -> list[Any]:
     attributes = body.__dict__
     encoded = [attributes[name] for name in layout.names]
@@ -142,10 +157,7 @@
     for index, scalar_type in layout.scalars:
         # isinstance would accept a bool as an int, so the types are compared.
         if elements[index].__class__ is not scalar_type:
-            raise TypeError(
-                f'{type(elements[index]).__name__} '
-                f'instead of {scalar_type.__name__}',
-            )
+            elements[index] = _require_type(elements[index], scalar_type)
     for position, decoder in layout.decoders:
         elements[position] = decoder(elements[position])
     body: Any = object.__new__(layout.message_type)
@@ -241,17 +253,15 @@
 
 def _decode_string_pairs(elements: Any) -> _StringPairs:
     if not set(map(type, _require_type(elements, list))) <= {str}:
-        raise TypeError('expected a list of strings')
+        elements = [_require_type(element, str) for element in elements]
     return tuple(zip(elements[::2], elements[1::2], strict=True))
 
 
 def _require_type(element: Any, expected: type) -> Any:
     # isinstance would accept a bool as an int, so the types are compared.
-    if element.__class__ is not expected:
-        raise TypeError(
-            f'{type(element).__name__} instead of {expected.__name__}'
-        )
-    return element
+    if element.__class__ is expected:
+        return element
+    raise TypeError(f'{type(element).__name__} instead of {expected.__name__}')
 
 
 def _is_integer(element: Any) -> bool:
--- a/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
@@ -26,6 +26,10 @@
     """A peer violated the protocol or reported a failure."""
 
 
+class EncodingError(ChiveleadError):
+    """A message cannot be sent as one frame; nothing was sent."""
+
+
 class AuthenticationError(ProtocolError):
     """A peer could not prove that it knows the fleet secret."""
 
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -140,6 +140,7 @@
         """Send a message and wait for the reply to it.
 
         Raises:
+            EncodingError: The message cannot be encoded; nothing was sent.
             LinkNotOpenError: The link is not open; nothing was sent.
             LinkLostError: The link was lost before the reply arrived.
             ReplyTimeoutError: No reply arrived in time.
@@ -172,6 +173,7 @@
         """Send a message that expects no reply.
 
         Raises:
+            EncodingError: The message cannot be encoded; nothing was sent.
             LinkNotOpenError: The link is not open; nothing was sent.
             LinkLostError: The connection is closed.
         """
--- a/packages/protocol/src/chivelead_protocol/_internal/link_server.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link_server.py
@@ -12,6 +12,7 @@
 from chivelead_protocol._internal.codec import decode_frame, encode_frame
 from chivelead_protocol._internal.exceptions import (
     ChiveleadError,
+    EncodingError,
     LinkLostError,
     ProtocolError,
 )
@@ -210,8 +211,15 @@
             self._reply(sequence, reply)
 
     def _reply(self, sequence: int, reply: Any) -> None:
-        raw = encode_frame(-sequence, self._clock.stamp(), reply)
+        """Send a reply, or a failure in place of one that cannot be sent."""
         with contextlib.suppress(LinkLostError):
-            self._channel.send(raw)
+            try:
+                self._send(-sequence, reply)
+            except EncodingError as error:
+                logger.warning('reply to %s: %s', self._peer_vm, error)
+                self._send(-sequence, messages.Failure(str(error)))
         if isinstance(reply, messages.CallReply):
             self._call_reply_end_bytes = self._channel.sent_bytes
+
+    def _send(self, sequence: int, body: Any) -> None:
+        self._channel.send(encode_frame(sequence, self._clock.stamp(), body))
--- a/packages/protocol/tests/unit/test_codec.py
+++ b/packages/protocol/tests/unit/test_codec.py
@@ -4,6 +4,7 @@
 import pytest
 from chivelead_protocol import (
     CallReply,
+    EncodingError,
     GuardDecision,
     Ping,
     ProtocolError,
@@ -57,3 +58,8 @@
         decode_frame(raw)
     except ProtocolError as error:
         assert 'decode' in str(error)
+
+
+def test_value_that_frames_cannot_hold_raises_encoding_error():
+    with pytest.raises(EncodingError, match='encode TakeTokens'):
+        encode_frame(7, 99, TakeTokens('\ud800', 3, 1, 2.5, (4, 5)))
--- a/packages/protocol/tests/unit/test_link.py
+++ b/packages/protocol/tests/unit/test_link.py
@@ -9,13 +9,17 @@
     Acknowledged,
     AuthenticationError,
     CallReply,
+    EncodingError,
     HybridClock,
     LinkLostError,
     PeerLink,
     PeerServer,
+    ProtocolError,
     StatusQuery,
+    TakeTokens,
     now_ms,
 )
+from chivelead_protocol._internal import channel
 
 HOST = '127.0.0.1'
 
@@ -50,6 +54,52 @@
     await server.close()
 
 
+async def reply_without_encoding(vm, body):
+    """Reply with a message that frames cannot hold."""
+    return TakeTokens('\ud800', 1, 1, 1.0, ())
+
+
+async def reply_with_large_frame(vm, body):
+    """Reply with a message that is larger than a frame may be."""
+    return CallReply(200, (), bytes(2000), 'done', '', 0, 0, 0, 0, 0)
+
+
+# Guards against callers that wait for their timeout since a reply could not be
+# sent, and against links that a reply closes.
+@pytest.mark.parametrize(
+    'message_handler', [reply_without_encoding, reply_with_large_frame]
+)
+async def test_reply_that_cannot_be_sent_fails_its_request_at_once(
+    message_handler, monkeypatch
+):
+    server, port = await start_server(message_handler)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    monkeypatch.setattr(channel, 'MAX_FRAME_BYTES', 1000)
+    started_ms = now_ms()
+    with pytest.raises(ProtocolError):
+        await link.request(StatusQuery(), 5000)
+    assert now_ms() - started_ms < 1000
+    assert link.is_open
+    await link.close()
+    await server.close()
+
+
+# Guards against requests that close a link, or fail with an unexpected error,
+# since they cannot be sent.
+@pytest.mark.parametrize('name', ['\ud800', 'x' * 2000])
+async def test_request_that_cannot_be_sent_fails_alone(name, monkeypatch):
+    server, port = await start_server(acknowledge)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    monkeypatch.setattr(channel, 'MAX_FRAME_BYTES', 1000)
+    with pytest.raises(EncodingError):
+        await link.request(TakeTokens(name, 1, 1, 1.0, ()), 5000)
+    assert await link.request(StatusQuery(), 5000) == Acknowledged()
+    await link.close()
+    await server.close()
+
+
 async def test_unresponsive_peer_closes_the_link_and_fails_requests():
     server, port = await start_server(acknowledge)
     link = PeerLink('near', HOST, port, b'secret', HybridClock())
