--- a/packages/protocol/src/chivelead_protocol/_internal/codec.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/codec.py
@@ -127,7 +127,27 @@
 def _encode_elements(sequence: int, stamp: int, body: Any) -> bytes:
     layout = _layouts_by_type[type(body)]
     elements = [sequence, stamp, layout.code, *_encode_fields(layout, body)]
-    return cbor2.dumps(elements)
+    try:
+        return cbor2.dumps(elements)
+    except UnicodeEncodeError:
+        return cbor2.dumps(_replace_invalid_text(elements))
+
+
+def _replace_invalid_text(element: Any) -> Any:
+    """Return an element with all text that is not valid UTF-8 as bytes."""
+    if isinstance(element, (list, tuple)):
+        return [_replace_invalid_text(child) for child in element]
+    if isinstance(element, str):
+        return _text_or_bytes(element)
+    return element
+
+
+def _text_or_bytes(text: str) -> str | bytes:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return text.encode('utf-8', 'surrogateescape')
+    return text
 
 
 def _encode_fields(layout: _MessageLayout, body: Any) -> list[Any]:
@@ -261,6 +281,8 @@
     # isinstance would accept a bool as an int, so the types are compared.
     if element.__class__ is expected:
         return element
+    if expected is str and element.__class__ is bytes:
+        return element.decode('utf-8', 'surrogateescape')
     raise TypeError(f'{type(element).__name__} instead of {expected.__name__}')
 
 
--- a/packages/protocol/tests/unit/test_codec.py
+++ b/packages/protocol/tests/unit/test_codec.py
@@ -1,5 +1,7 @@
 """The codec decodes what it encoded and rejects malformed frames."""
 
+import dataclasses
+
 import cbor2
 import pytest
 from chivelead_protocol import (
@@ -26,6 +28,8 @@
         GuardDecision('done', REPLY),
         GuardDecision('run', None),
         TakeTokens('mill', 3, 1, 2.5, (4, 5)),
+        TakeTokens('caf\udce9', 3, 1, 2.5, (4, 5)),
+        dataclasses.replace(REPLY, headers=(('a', 'caf\udce9'), ('b', 'é'))),
     ],
 )
 def test_message_round_trip(body):
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -88,3 +88,27 @@
         fleet, b'POST x', fields, body
     ):
         assert request.body == body
+
+
+# Guards against header fields in another encoding than UTF-8 that end requests
+# with a 500, or leave callers waiting.
+@pytest.mark.parametrize(
+    'field',
+    [
+        b'X-Name: caf\xe9\r\n',
+        b'X-Name: caf\xc3\xa9\r\n',
+        b'X-Name: \xff\xfe\x80 \xed\xa0\x80\r\n',
+        b'Cookie: a="\xf0\x9f\x98\x80"; b=\xf0\r\n',
+    ],
+)
+async def test_header_in_any_encoding_is_forwarded_unchanged(fleet, field):
+    async for _ in assert_forwarded_unchanged(fleet, b'GET x', field, b''):
+        for target in fleet.targets:
+            target.response_head = b'Content-Length: 0\r\n%s' % field
+    for start in (b'GET /read/x', b'GET /book/x'):
+        client = await connect(fleet)
+        response = await client.exchange(encode_raw_request(start))
+        client.close()
+        assert response.status == 200
+        name, _, sent = field.strip().partition(b': ')
+        assert response.find(name) == sent
