--- a/packages/config/src/chivelead_config/_internal/documents.py
+++ b/packages/config/src/chivelead_config/_internal/documents.py
@@ -168,7 +168,7 @@
 
 def key_digest(key: str) -> str:
     """Return the digest by which documents identify a key."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
 
 
 def _matches_prefix(prefix: str, path: str) -> bool:
--- a/packages/coordination/src/chivelead_coordination/_internal/guard.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/guard.py
@@ -70,7 +70,7 @@
 def hash_idempotency_key(organisation: str, service: str, key: str) -> str:
     """Return the digest that identifies a key in messages and records."""
     text = f'{organisation}\n{service}\n{key}'
-    return hashlib.sha256(text.encode()).hexdigest()
+    return hashlib.sha256(text.encode('utf-8', 'surrogateescape')).hexdigest()
 
 
 def slot_for_key(key_digest: str) -> int:
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -112,3 +112,11 @@
         assert response.status == 200
         name, _, sent = field.strip().partition(b': ')
         assert response.find(name) == sent
+
+
+# Guards against keys in another encoding than UTF-8 that get a 500.
+async def test_key_in_any_encoding_is_refused_if_it_is_unknown(fleet):
+    client = await connect(fleet)
+    raw = encode_raw_request(b'GET /read/x').replace(b'mill-key', b'caf\xe9')
+    assert (await client.exchange(raw)).status == 401
+    client.close()
