--- a/packages/node/src/chivelead_node/_internal/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/ingress.py
@@ -20,6 +20,7 @@
 
 from chivelead_node._internal import calls
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.expectations import may_await_continue
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.metrics import StatsdMetrics
 from chivelead_node._internal.outbound import OutboundCalls
@@ -127,7 +128,9 @@
             self.in_flight -= 1
         self._metrics.timing('call', now_ms() - started_ms)
         self._metrics.count(f'status.{response.status}')
-        if self.closing:
+        # After a final response in place of the interim one, the caller may
+        # send the body or the next request.
+        if self.closing or may_await_continue(request):
             response.force_close()
         return response
 
--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
@@ -8,6 +8,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.expectations import may_await_continue
 from chivelead_node._internal.proxy.lingering_transport import (
     LingeringTransport,
 )
@@ -168,8 +169,12 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; the last one closes the connection."""
-        is_last = self.input_ended or self._connections.closing
-        if is_last and not self._messages:
+        is_last = (
+            self.input_ended or self._connections.closing
+        ) and not self._messages
+        # After a final response in place of the interim one, the client may
+        # send the body or the next request.
+        if is_last or may_await_continue(request):
             resp.force_close()
         return await super().finish_response(request, resp, start_time)
 
--- a/packages/node/src/chivelead_node/_internal/requests.py
+++ b/packages/node/src/chivelead_node/_internal/requests.py
@@ -7,6 +7,7 @@
 from chivelead_protocol import Headers
 
 from chivelead_node._internal import calls
+from chivelead_node._internal.expectations import send_continue
 
 _BAD_REQUEST = 400
 _UNAUTHORISED = 401
@@ -149,6 +150,7 @@
         return b''
     if (request.content_length or 0) > limit_bytes:
         raise _too_large(limit_bytes)
+    send_continue(request)
     try:
         async with asyncio.timeout(_BODY_TIMEOUT_S):
             return await _read_chunks(request, limit_bytes)
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -120,3 +120,52 @@
     raw = encode_raw_request(b'GET /read/x').replace(b'mill-key', b'caf\xe9')
     assert (await client.exchange(raw)).status == 401
     client.close()
+
+
+# Guards against clients that wait in vain for leave to send a body.
+async def test_client_that_expects_leave_to_send_a_body_gets_it_at_once(fleet):
+    fields = b'Expect: 100-continue\r\nContent-Length: 4\r\n'
+    client = await connect(fleet)
+    for _ in range(2):
+        raw = encode_raw_request(b'POST /book/x', fields)
+        interim = await client.exchange(raw, timeout_s=0.5)
+        assert interim.start_line == b'HTTP/1.1 100 Continue'
+        assert (await client.exchange(b'body')).status == 200
+        request = fleet.targets[1].requests.pop()
+        assert (request.body, request.find(b'expect')) == (b'body', None)
+    client.close()
+
+
+# Guards against a second response on a connection of a client that sends its
+# body without waiting, or that does not know interim responses.
+@pytest.mark.parametrize('version', [b'HTTP/1.1', b'HTTP/1.0'])
+async def test_client_that_does_not_wait_gets_one_response(fleet, version):
+    raw = encode_raw_request(
+        b'POST /book/x', b'Expect: 100-continue\r\n', b'body', version=version
+    )
+    client = await connect(fleet)
+    assert (await client.exchange(raw)).status == 200
+    assert fleet.targets[1].requests.pop().body == b'body'
+    client.close()
+
+
+# Guards against uploads that are refused only after their body was sent, and
+# against a body that is taken for the next request.
+@pytest.mark.parametrize(
+    ('start', 'key', 'size', 'status'),
+    [
+        (b'POST /book/x', b'mill-key', 1_000_001, 413),
+        (b'POST /book/x', b'no-key', 4, 401),
+        (b'POST /nowhere/x', b'mill-key', 4, 404),
+    ],
+)
+async def test_refused_upload_gets_its_response_before_its_body(
+    fleet, start, key, size, status
+):
+    fields = b'Expect: 100-continue\r\nContent-Length: %d\r\n' % size
+    raw = encode_raw_request(start, fields).replace(b'mill-key', key)
+    client = await connect(fleet)
+    response = await client.exchange(raw, timeout_s=0.5)
+    assert response.status == status
+    assert response.find(b'connection') == b'close'
+    client.close()
