--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
@@ -1,12 +1,14 @@
 """Connections of an HTTP server, and the answers that are due on them."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Any, cast
 
 from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
+from chivelead_node._internal.chunked_ends import ReceivedBytes
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.expectations import may_await_continue
 from chivelead_node._internal.proxy.lingering_transport import (
@@ -95,6 +97,10 @@
         self._connections = connections
         self._open_transport: LingeringTransport | None = None
         self._last_body: StreamReader | None = None
+        self._received = ReceivedBytes()
+        self._chunked_body: StreamReader | None = None
+        # Nothing more is read on this connection.
+        self._has_trailers = False
 
     @property
     def client(self) -> str:
@@ -140,12 +146,18 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; ignore those after the last request."""
-        transport = self._open_transport
-        if transport is not None and transport.is_lingering:
-            return
-        super().data_received(data)
-        if self._messages:
-            self._last_body = self._messages[-1][1]
+        # Without data, the parser goes on with bytes that it has kept.
+        for piece in self._received.split(data) or [data]:
+            transport = self._open_transport
+            is_lingering = transport is not None and transport.is_lingering
+            if is_lingering or self._has_trailers:
+                return
+            self._received.append(piece)
+            queued = len(self._messages)
+            super().data_received(piece)
+            self._find_trailers(queued)
+            if self._messages:
+                self._last_body = self._messages[-1][1]
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """Handle the end of what the client sends.
@@ -169,9 +181,9 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; the last one closes the connection."""
-        is_last = (
-            self.input_ended or self._connections.closing
-        ) and not self._messages
+        is_last = not self._messages and (
+            self.input_ended or self._has_trailers or self._connections.closing
+        )
         # After a final response in place of the interim one, the client may
         # send the body or the next request.
         if is_last or may_await_continue(request):
@@ -186,6 +198,34 @@
             self._open_transport = None
         super().connection_lost(exc)
 
+    def _find_trailers(self, queued: int) -> None:
+        """Stop reading if the bytes just parsed may contain trailers.
+
+        Args:
+            queued: Number of requests in the queue before they were parsed.
+        """
+        bodies = [self._chunked_body]
+        for message, payload in itertools.islice(self._messages, queued, None):
+            is_chunked = getattr(message, 'chunked', False)
+            bodies.append(payload if is_chunked else None)
+        self._chunked_body = bodies[-1]
+        for index, body in enumerate(bodies, start=1):
+            if body is None or not body.is_eof():
+                continue
+            unread = len(bodies) - index
+            if unread or not self._received.end_without_trailers:
+                self._stop_reading(unread)
+                return
+            self._chunked_body = None
+
+    def _stop_reading(self, unread: int) -> None:
+        """Close the connection after the responses to some of the requests."""
+        self._has_trailers = True
+        for _ in range(unread):
+            self._messages.pop()
+        if not self._messages:
+            self.close()
+
 
 class ConnectionServer(web.Server):
     """Server whose connections are in a set.
--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -16,6 +16,8 @@
 from aiohttp.streams import StreamReader
 from chivelead_protocol import Headers, loop_ms
 
+from chivelead_node._internal.chunked_ends import ReceivedBytes
+
 # Responses up to this size are buffered without pausing the connection.
 _READ_BUFFER_BYTES = 1_048_576
 # The shortest common default among HTTP servers, for targets that send no
@@ -51,11 +53,14 @@
         self.idle_timeout_ms = _DEFAULT_IDLE_TIMEOUT_MS
         self._head_bytes = 0
         self._is_idle = False
+        self._received = ReceivedBytes()
+        self._is_chunked = False
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; fail if they are no response for too long."""
         if self._is_idle:
             self.force_close()
+        self._received.append(data)
         super().data_received(data)
         if self._payload is not None:
             self._head_bytes = 0
@@ -115,6 +120,8 @@
             idle_timeout_ms: Time until the target may close the connection.
         """
         self._is_idle = True
+        if self._is_chunked and not self._received.end_without_trailers:
+            self.force_close()
         self.idle_since_ms = loop_ms()
         self.idle_timeout_ms = idle_timeout_ms
 
@@ -132,6 +139,7 @@
                     'the head contains the start of another response'
                 )
             if response_head.code >= 200:  # noqa: WPS432
+                self._is_chunked = response_head.chunked
                 return response_head, body
         raise aiohttp.ClientPayloadError('informational responses have no end')
 
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -1,5 +1,6 @@
 """Tests of nodes on the fake platform: bytes pass in both directions."""
 
+import asyncio
 import gzip
 import zlib
 
@@ -169,3 +170,73 @@
     assert response.status == status
     assert response.find(b'connection') == b'close'
     client.close()
+
+
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+_TRAILERS = b'X-Late: 1\r\nX-Tenant: other\r\n'
+
+
+# Guards against a trailer that becomes a header field of the next request on
+# its connection.
+@pytest.mark.parametrize(
+    ('segment_bytes', 'next_request'),
+    [
+        (1, b''),
+        (7, b''),
+        (10_000, b''),
+        (10_000, encode_raw_request(b'GET /book/y')),
+    ],
+)
+async def test_trailers_of_a_request_stay_out_of_the_next(
+    fleet, segment_bytes, next_request
+):
+    body = b'3\r\nabc\r\n0\r\n%s\r\n' % _TRAILERS
+    raw = encode_raw_request(b'POST /book/x', _CHUNKED, body, length=False)
+    raw += next_request
+    client = await connect(fleet)
+    for start in range(0, len(raw), segment_bytes):
+        await client.send(raw[start : start + segment_bytes])
+        await asyncio.sleep(0)
+    response = await client.read_response()
+    assert response.status == 200
+    assert response.find(b'connection') == b'close'
+    client.close()
+    assert [request.body for request in fleet.targets[1].requests] == [b'abc']
+
+
+# Guards against connections that end, or requests that are lost, behind chunked
+# bodies without trailers.
+@pytest.mark.parametrize('segment_bytes', [1, 7, 64, 10_000])
+async def test_requests_behind_a_chunked_one_are_answered(fleet, segment_bytes):
+    bodies = [b'abc', b'\r\n0\r\n\r\n', b'0\r\n\r\n' * 30, b'']
+    raw = b''
+    for body in bodies:
+        chunk = b'%x\r\n%s\r\n' % (len(body), body) if body else b''
+        raw += encode_raw_request(
+            b'POST /book/x', _CHUNKED, b'%s0\r\n\r\n' % chunk, length=False
+        )
+    raw += encode_raw_request(b'GET /book/y')
+    client = await connect(fleet)
+    for start in range(0, len(raw), segment_bytes):
+        await client.send(raw[start : start + segment_bytes])
+        await asyncio.sleep(0)
+    for _ in (*bodies, b''):
+        assert (await client.read_response()).status == 200
+    client.close()
+    requests = fleet.targets[1].requests
+    assert [request.body for request in requests] == [*bodies, b'']
+
+
+# Guards against a trailer that becomes a header field of the next response of
+# a target, such as its request ID.
+@pytest.mark.parametrize('trailer', [b'X-Late: 1', b'X-Request-Id: other'])
+async def test_trailers_of_a_response_stay_out_of_the_next(fleet, trailer):
+    target = fleet.targets[1]
+    target.response_head = _CHUNKED
+    target.response_body = b'2\r\nok\r\n0\r\n%s\r\n\r\n' % trailer
+    client = await connect(fleet)
+    for _ in range(2):
+        response = await client.exchange(encode_raw_request(b'GET /book/x'))
+        assert (response.status, response.body) == (200, b'ok')
+        assert response.find(b'x-late') is None
+    client.close()
