--- a/packages/protocol/tests/unit/test_codec.py
+++ b/packages/protocol/tests/unit/test_codec.py
@@ -1,9 +1,12 @@
 """The codec decodes what it encoded and rejects malformed frames."""
 
+import dataclasses
+
 import cbor2
 import pytest
 from chivelead_protocol import (
     CallReply,
+    EncodingError,
     GuardDecision,
     Ping,
     ProtocolError,
@@ -25,6 +28,8 @@
         GuardDecision('done', REPLY),
         GuardDecision('run', None),
         TakeTokens('mill', 3, 1, 2.5, (4, 5)),
+        TakeTokens('caf\udce9', 3, 1, 2.5, (4, 5)),
+        dataclasses.replace(REPLY, headers=(('a', 'caf\udce9'), ('b', 'é'))),
     ],
 )
 def test_message_round_trip(body):
@@ -57,3 +62,8 @@
         decode_frame(raw)
     except ProtocolError as error:
         assert 'decode' in str(error)
+
+
+def test_value_that_frames_cannot_hold_raises_encoding_error():
+    with pytest.raises(EncodingError, match='encode TakeTokens'):
+        encode_frame(7, 99, TakeTokens('\ud800', 3, 1, 2.5, (4, 5)))
--- /dev/null
+++ b/tests/functional/test_platform_unchanged.py
@@ -0,0 +1,242 @@
+"""Tests of nodes on the fake platform: bytes pass in both directions."""
+
+import asyncio
+import gzip
+import zlib
+
+import pytest
+from lib.fake_platform import HOST
+from lib.platform_fleet import running_fleet
+from lib.raw_exchange import RawCaller, RawTarget, encode_raw_request
+
+# Header fields that nodes set, or that concern one connection only.
+_SET_BY_NODES = frozenset(
+    (
+        b'x-deadline-ms',
+        b'x-tenant',
+        b'x-caller-service',
+        b'x-expect-instance',
+        b'authorization',
+        b'content-length',
+        b'transfer-encoding',
+        b'connection',
+        b'expect',
+        b'trailer',
+        b'upgrade',
+    )
+)
+
+
+@pytest.fixture
+async def fleet():
+    """Run two nodes; requests under /read/ stay on the first VM."""
+    async with running_fleet(
+        'stock', 'orders', target_type=RawTarget
+    ) as running:
+        yield running
+
+
+async def connect(fleet):
+    """Open a connection to the first node."""
+    port = fleet.settings[0].callers_address.port
+    return await RawCaller.connect(HOST, port)
+
+
+async def assert_forwarded_unchanged(fleet, start, fields, body, **options):
+    """Send a request to both targets; compare what they receive."""
+    for index, prefix in enumerate((b'/read/', b'/book/')):
+        method, _, path = start.partition(b' ')
+        start_line = b'%s %s%s' % (method, prefix, path)
+        raw = encode_raw_request(start_line, fields, body, **options)
+        client = await connect(fleet)
+        response = await client.exchange(raw)
+        client.close()
+        assert response.status == 200
+        request = fleet.targets[index].requests[-1]
+        sent_fields = [
+            (name.lower(), field.strip())
+            for name, _, field in (
+                line.partition(b':')
+                for line in raw.partition(b'\r\n\r\n')[0].split(b'\r\n')[1:]
+            )
+            if name.lower() not in _SET_BY_NODES
+        ]
+        assert request.start_line == b'%s HTTP/1.1' % start_line
+        assert [
+            (name.lower(), field)
+            for name, field in request.without(_SET_BY_NODES)
+        ] == sent_fields
+        yield request
+
+
+# Guards against bodies that are decoded on the way to a target.
+@pytest.mark.parametrize(
+    ('coding', 'body'),
+    [
+        (b'gzip', gzip.compress(b'x' * 5000)),
+        (b'deflate', zlib.compress(b'x' * 5000)),
+        (b'br', b'\x1b\x87\x13\x00\xa4'),
+        (b'zstd', b'\x28\xb5\x2f\xfd'),
+        (b'gzip', b'only called gzip'),
+        (b'gzip, br', b'twice'),
+    ],
+)
+async def test_body_with_content_coding_is_forwarded_unchanged(
+    fleet, coding, body
+):
+    fields = b'Content-Encoding: %s\r\n' % coding
+    async for request in assert_forwarded_unchanged(
+        fleet, b'POST x', fields, body
+    ):
+        assert request.body == body
+
+
+# Guards against header fields in another encoding than UTF-8 that end requests
+# with a 500, or leave callers waiting.
+@pytest.mark.parametrize(
+    'field',
+    [
+        b'X-Name: caf\xe9\r\n',
+        b'X-Name: caf\xc3\xa9\r\n',
+        b'X-Name: \xff\xfe\x80 \xed\xa0\x80\r\n',
+        b'Cookie: a="\xf0\x9f\x98\x80"; b=\xf0\r\n',
+    ],
+)
+async def test_header_in_any_encoding_is_forwarded_unchanged(fleet, field):
+    async for _ in assert_forwarded_unchanged(fleet, b'GET x', field, b''):
+        for target in fleet.targets:
+            target.response_head = b'Content-Length: 0\r\n%s' % field
+    for start in (b'GET /read/x', b'GET /book/x'):
+        client = await connect(fleet)
+        response = await client.exchange(encode_raw_request(start))
+        client.close()
+        assert response.status == 200
+        name, _, sent = field.strip().partition(b': ')
+        assert response.find(name) == sent
+
+
+# Guards against keys in another encoding than UTF-8 that get a 500.
+async def test_key_in_any_encoding_is_refused_if_it_is_unknown(fleet):
+    client = await connect(fleet)
+    raw = encode_raw_request(b'GET /read/x').replace(b'mill-key', b'caf\xe9')
+    assert (await client.exchange(raw)).status == 401
+    client.close()
+
+
+# Guards against clients that wait in vain for leave to send a body.
+async def test_client_that_expects_leave_to_send_a_body_gets_it_at_once(fleet):
+    fields = b'Expect: 100-continue\r\nContent-Length: 4\r\n'
+    client = await connect(fleet)
+    for _ in range(2):
+        raw = encode_raw_request(b'POST /book/x', fields)
+        interim = await client.exchange(raw, timeout_s=0.5)
+        assert interim.start_line == b'HTTP/1.1 100 Continue'
+        assert (await client.exchange(b'body')).status == 200
+        request = fleet.targets[1].requests.pop()
+        assert (request.body, request.find(b'expect')) == (b'body', None)
+    client.close()
+
+
+# Guards against a second response on a connection of a client that sends its
+# body without waiting, or that does not know interim responses.
+@pytest.mark.parametrize('version', [b'HTTP/1.1', b'HTTP/1.0'])
+async def test_client_that_does_not_wait_gets_one_response(fleet, version):
+    raw = encode_raw_request(
+        b'POST /book/x', b'Expect: 100-continue\r\n', b'body', version=version
+    )
+    client = await connect(fleet)
+    assert (await client.exchange(raw)).status == 200
+    assert fleet.targets[1].requests.pop().body == b'body'
+    client.close()
+
+
+# Guards against uploads that are refused only after their body was sent, and
+# against a body that is taken for the next request.
+@pytest.mark.parametrize(
+    ('start', 'key', 'size', 'status'),
+    [
+        (b'POST /book/x', b'mill-key', 1_000_001, 413),
+        (b'POST /book/x', b'no-key', 4, 401),
+        (b'POST /nowhere/x', b'mill-key', 4, 404),
+    ],
+)
+async def test_refused_upload_gets_its_response_before_its_body(
+    fleet, start, key, size, status
+):
+    fields = b'Expect: 100-continue\r\nContent-Length: %d\r\n' % size
+    raw = encode_raw_request(start, fields).replace(b'mill-key', key)
+    client = await connect(fleet)
+    response = await client.exchange(raw, timeout_s=0.5)
+    assert response.status == status
+    assert response.find(b'connection') == b'close'
+    client.close()
+
+
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+_TRAILERS = b'X-Late: 1\r\nX-Tenant: other\r\n'
+
+
+# Guards against a trailer that becomes a header field of the next request on
+# its connection.
+@pytest.mark.parametrize(
+    ('segment_bytes', 'next_request'),
+    [
+        (1, b''),
+        (7, b''),
+        (10_000, b''),
+        (10_000, encode_raw_request(b'GET /book/y')),
+    ],
+)
+async def test_trailers_of_a_request_stay_out_of_the_next(
+    fleet, segment_bytes, next_request
+):
+    body = b'3\r\nabc\r\n0\r\n%s\r\n' % _TRAILERS
+    raw = encode_raw_request(b'POST /book/x', _CHUNKED, body, length=False)
+    raw += next_request
+    client = await connect(fleet)
+    for start in range(0, len(raw), segment_bytes):
+        await client.send(raw[start : start + segment_bytes])
+        await asyncio.sleep(0)
+    response = await client.read_response()
+    assert response.status == 200
+    assert response.find(b'connection') == b'close'
+    client.close()
+    assert [request.body for request in fleet.targets[1].requests] == [b'abc']
+
+
+# Guards against connections that end, or requests that are lost, behind chunked
+# bodies without trailers.
+@pytest.mark.parametrize('segment_bytes', [1, 7, 64, 10_000])
+async def test_requests_behind_a_chunked_one_are_answered(fleet, segment_bytes):
+    bodies = [b'abc', b'\r\n0\r\n\r\n', b'0\r\n\r\n' * 30, b'']
+    raw = b''
+    for body in bodies:
+        chunk = b'%x\r\n%s\r\n' % (len(body), body) if body else b''
+        raw += encode_raw_request(
+            b'POST /book/x', _CHUNKED, b'%s0\r\n\r\n' % chunk, length=False
+        )
+    raw += encode_raw_request(b'GET /book/y')
+    client = await connect(fleet)
+    for start in range(0, len(raw), segment_bytes):
+        await client.send(raw[start : start + segment_bytes])
+        await asyncio.sleep(0)
+    for _ in (*bodies, b''):
+        assert (await client.read_response()).status == 200
+    client.close()
+    requests = fleet.targets[1].requests
+    assert [request.body for request in requests] == [*bodies, b'']
+
+
+# Guards against a trailer that becomes a header field of the next response of
+# a target, such as its request ID.
+@pytest.mark.parametrize('trailer', [b'X-Late: 1', b'X-Request-Id: other'])
+async def test_trailers_of_a_response_stay_out_of_the_next(fleet, trailer):
+    target = fleet.targets[1]
+    target.response_head = _CHUNKED
+    target.response_body = b'2\r\nok\r\n0\r\n%s\r\n\r\n' % trailer
+    client = await connect(fleet)
+    for _ in range(2):
+        response = await client.exchange(encode_raw_request(b'GET /book/x'))
+        assert (response.status, response.body) == (200, b'ok')
+        assert response.find(b'x-late') is None
+    client.close()
