--- a/packages/node/src/chivelead_node/_internal/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/daemon.py
@@ -20,6 +20,7 @@
     start_supervised,
 )
 
+from chivelead_node._internal import calls
 from chivelead_node._internal.components import Components, build_components
 from chivelead_node._internal.peer_handlers import handle_peer_message
 from chivelead_node._internal.server_connections import (
@@ -81,7 +82,9 @@
             self.components.clock,
             self._handle_peer_message,
         )
-        self._connections = ServerConnections(self.components.events)
+        self._connections = ServerConnections(
+            self.components.events, calls.HEADER_REQUEST_ID
+        )
         self._runners: list[web.ServerRunner] = []
         self._sites: list[web.TCPSite] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -131,6 +134,7 @@
         for site in self._sites:
             await site.stop()
         await self._wait_for_requests()
+        self._connections.record_cut_answers()
         await components.ownership.release(self._hand_over_shares)
         await self._notify_successor()
         await components.relay.close()
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -8,7 +8,7 @@
 
 from chivelead_config import TrafficPlan
 from chivelead_coordination import FleetRate
-from chivelead_platform import ProcessSettings
+from chivelead_platform import HEADERS, ProcessSettings
 from chivelead_protocol import (
     CallCancel,
     CallRequest,
@@ -64,9 +64,13 @@
         self._components = build_components(settings, self._log_writer)
         self._servers = HttpServers()
         self._caller_connections = ServerConnections(
-            self._components.events, self._components.ingress.handle_input_end
+            self._components.events,
+            HEADERS.request_id,
+            self._components.ingress.handle_input_end,
+        )
+        self._control_connections = ServerConnections(
+            self._components.events, HEADERS.request_id
         )
-        self._control_connections = ServerConnections(self._components.events)
         self._peer_server = PeerServer(
             settings.vm,
             LINK_SECRET,
@@ -138,6 +142,7 @@
             unanswered=self._caller_connections.count_unanswered(),
             undelivered_bytes=self._caller_connections.undelivered_bytes(),
         )
+        self._caller_connections.record_cut_answers()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
                 await components.reporter.leave()
--- a/packages/node/src/chivelead_node/_internal/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -26,11 +26,13 @@
 
     Args:
         events: Event log.
+        request_id_header: Name of the header with the ID of a request.
         on_input_end: Called when a client closes its sending half while an
             answer to it is due; by default its connection is closed after
             ``INPUT_END_GRACE_MS``, which cancels what it waits for.
 
     Attributes:
+        request_id_header: See the arguments.
         closing: Whether each connection is closed after the answers that are
             due on it.
     """
@@ -38,11 +40,13 @@
     def __init__(
         self,
         events: EventLog,
+        request_id_header: str,
         on_input_end: Callable[['ServerConnection'], None] | None = None,
     ) -> None:
         """Create an empty set."""
         self.closing = False
         self._events = events
+        self.request_id_header = request_id_header
         self._on_input_end = on_input_end
         self._connections: set[ServerConnection] = set()
 
@@ -56,13 +60,16 @@
         """Remove a connection that has ended; log an answer that it cut off."""
         self._connections.discard(connection)
         if connection.has_unsent_answer:
-            self._events.record_decision(
-                'failed',
-                'answer-cut',
-                '',
-                client=connection.client,
-                error=repr(error) if error else 'closed',
-            )
+            self._record_cut(connection, repr(error) if error else 'closed')
+
+    def record_cut_answers(self) -> None:
+        """Log the answers that the end of the process cuts off."""
+        for connection in self._connections:
+            if (
+                connection.has_unanswered_request
+                or connection.undelivered_bytes()
+            ):
+                self._record_cut(connection, 'stopped')
 
     def record_input_end(self, connection: 'ServerConnection') -> None:
         """Handle the end of what a client sends before it has its answers."""
@@ -86,6 +93,16 @@
             connection.undelivered_bytes() for connection in self._connections
         )
 
+    def _record_cut(self, connection: 'ServerConnection', why: str) -> None:
+        self._events.record_decision(
+            'failed',
+            'answer-cut',
+            connection.last_request_id,
+            client=connection.client,
+            why=why,
+            undelivered_bytes=connection.undelivered_bytes(),
+        )
+
 
 class ServerConnection(RequestHandler):
     """A connection that knows what is due on it.
@@ -94,6 +111,9 @@
         connections: Set that the connection belongs to while it is open.
         manager: Server that accepted the connection.
         options: Options of the base class.
+
+    Attributes:
+        last_request_id: ID of the request that was answered last.
     """
 
     def __init__(
@@ -104,6 +124,7 @@
     ) -> None:
         """Create a handler that the event loop will connect."""
         super().__init__(manager, **options)
+        self.last_request_id = ''
         self._connections = connections
         self._open_transport: LingeringTransport | None = None
         self._last_body: StreamReader | None = None
@@ -191,6 +212,9 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; the last one closes the connection."""
+        self.last_request_id = request.headers.get(
+            self._connections.request_id_header, ''
+        )
         is_last = not self._messages and (
             self.input_ended or self._has_trailers or self._connections.closing
         )
--- a/tests/functional/test_platform_answers.py
+++ b/tests/functional/test_platform_answers.py
@@ -5,6 +5,7 @@
 
 import pytest
 from lib.node_process import running_processes
+from lib.platform_fleet import wait_until
 
 _ROUTES = (
     ('/read/', 'stock', 'safe', {'timeout_ms': 5000}),
@@ -105,3 +106,14 @@
         await asyncio.sleep(0.3)
         await client.send(b'GET /read/y HTTP/1.1\r\n')
     assert await read_all(client, 1) == [200]
+
+
+# Guards against answers that are cut off without a trace in the log.
+async def test_answer_that_its_client_does_not_read_is_logged(fleet):
+    fleet.targets[0].response_size_bytes = 1_000_000
+    client = await fleet.connect(0, **_SMALL_WINDOW)
+    request_id = await client.send_request('GET', '/read/x')
+    await asyncio.sleep(0.5)
+    client.close()
+    await wait_until(lambda: fleet.nodes[0].log_lines('answer-cut'))
+    assert request_id in fleet.nodes[0].log_lines('answer-cut')[0]
