--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -119,6 +119,12 @@
             ),
         )
 
+        # Targets need these, so a caller cannot name them as headers that
+        # concern its connection only (RFC 9110, section 7.6.1).
+        self._kept_headers = frozenset(
+            ('host', header_names.request_id.lower())
+        )
+
     def apply(self, plan: TrafficPlan) -> None:
         """Apply a new plan; calls in progress keep the previous one."""
         self._plan = plan
@@ -364,7 +370,9 @@
         connection_header = request.headers.get('Connection')
         if connection_header:
             options = connection_header.lower().split(',')
-            dropped = dropped.union(option.strip() for option in options)
+            dropped = dropped.union(
+                {option.strip() for option in options} - self._kept_headers
+            )
         kept = [
             (name, header_value)
             for name, header_value in request.headers.items()
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -240,3 +240,17 @@
         assert (response.status, response.body) == (200, b'ok')
         assert response.find(b'x-late') is None
     client.close()
+
+
+# Guards against calls that wait for their deadline since the target did not get
+# their ID.
+async def test_connection_option_does_not_remove_what_targets_need(fleet):
+    fields = b'Connection: X-Hop, X-Request-Id, Host\r\nX-Hop: 1\r\n'
+    client = await connect(fleet)
+    raw = encode_raw_request(b'GET /book/x', fields)
+    response = await client.exchange(raw, timeout_s=1)
+    client.close()
+    assert response.status == 200
+    request = fleet.targets[1].requests.pop()
+    assert request.find(b'x-hop') is None
+    assert request.find(b'host') == b'shop.example'
