--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -48,6 +48,7 @@
 from chivelead_node._internal.proxy.own_target_notices import (
     PlatformTargetNotices,
 )
+from chivelead_node._internal.proxy.plan_budget import PlanBudget
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 from chivelead_node._internal.proxy.probe import TargetProber
 from chivelead_node._internal.proxy.registration import TargetRegistration
@@ -133,7 +134,12 @@
     membership = Membership(_build_own_member(settings))
     links = LinkPool(membership, LINK_SECRET, clock)
     era = StoreEra()
-    store = PlatformStore(settings.store.address, _STORE_TIMEOUT_MS, era)
+    store = PlatformStore(
+        settings.store.address,
+        _STORE_TIMEOUT_MS,
+        era,
+        PlanBudget(settings.bounds.plan_ms).response_ms,
+    )
     quota = FleetQuota(first_start=settings.first_start)
     admission = Admission(
         LIMITS.find('adaptive-with-room')(),
--- a/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/plan_feed.py
@@ -15,6 +15,7 @@
     PlanPull,
     PlanText,
     StoreError,
+    StoreTimeoutError,
     loop_ms,
     start_once,
     start_supervised,
@@ -22,13 +23,10 @@
 
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.proxy.backoff import Backoff
+from chivelead_node._internal.proxy.plan_budget import PlanBudget
 
 logger = logging.getLogger(__name__)
 
-# A watch may hear nothing without failing.  It ends after this part of the time
-# in which a plan must take effect; the rest is for passing it on, or for a
-# standby to notice that the watch fails.
-_WATCH_FRACTION = 0.35
 # While another node watches for the failure domain.
 _ROLE_CHECK_PERIOD_S = 0.1
 _PULL_TIMEOUT_MS = 1000
@@ -78,7 +76,7 @@
     ) -> None:
         """Create a feed without a plan."""
         self.current = EMPTY_PLAN
-        self.watch_timeout_ms = int(bound_ms * _WATCH_FRACTION)
+        self.watch_timeout_ms = PlanBudget(bound_ms).watch_ms
         self._current_text = ''
         self._store = store
         self._era = era
@@ -230,9 +228,15 @@
         self, position: _WatchPosition
     ) -> _WatchPosition | None:
         """Return the next position, or None if the plan must be read anew."""
-        changes = await self._store.watch_prefix(
-            self._key, position.revision, self.watch_timeout_ms
-        )
+        try:
+            changes = await self._store.watch_prefix(
+                self._key, position.revision, self.watch_timeout_ms
+            )
+        except StoreTimeoutError as error:
+            # The connection may be silent while the store is well; the next
+            # call uses a new one.
+            logger.debug('watching the plan failed: %s', error)
+            return None
         self._store_heard_ms = loop_ms()
         for change in changes.changes:
             if change.key == self._key and change.entry is not None:
--- a/packages/platform/src/chivelead_platform/_internal/store.py
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's key-value store."""
 
-import asyncio
 import base64
 import binascii
 import logging
@@ -25,10 +24,12 @@
     StoreConflictError,
     StoreError,
     StoreNotFoundError,
+    StoreTimeoutError,
     StoreUnavailableError,
 )
 
 from chivelead_platform._internal.process_settings import Address
+from chivelead_platform._internal.store_connections import StoreConnections
 from chivelead_platform._internal.values import FieldReader
 
 logger = logging.getLogger(__name__)
@@ -42,7 +43,6 @@
 _GONE = 410
 _PRECONDITION_FAILED = 412
 _FORBIDDEN = 403
-# Extra time for the response to a watch to arrive after its wait has ended.
 _WATCH_MARGIN_MS = 1000
 _Query = dict[str, str]
 _Decoded = TypeVar('_Decoded')
@@ -55,29 +55,31 @@
         address: Address on which the store listens.
         timeout_ms: Timeout of each call.
         era: Receives the era of the store that each response names.
+        watch_margin_ms: Time for the response to a watch to arrive after its
+            wait has ended.
     """
 
     def __init__(
-        self, address: Address, timeout_ms: float, era: StoreEra
+        self,
+        address: Address,
+        timeout_ms: float,
+        era: StoreEra,
+        watch_margin_ms: float = _WATCH_MARGIN_MS,
     ) -> None:
-        """Initialise the client; ``start`` opens the session."""
+        """Initialise the client; ``start`` allows calls."""
         self._era = era
         self._url = f'http://{address.host}:{address.port}/api'
         self._timeout_ms = timeout_ms
-        self._session: aiohttp.ClientSession | None = None
+        self._watch_margin_ms = watch_margin_ms
+        self._connections = StoreConnections()
 
     async def start(self) -> None:
-        """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(use_dns_cache=False),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        """Allow calls."""
+        await self._connections.start()
 
     async def close(self) -> None:
-        """Close the HTTP session."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close the connections."""
+        await self._connections.close()
 
     async def read(self, key: str) -> StoredValue | None:
         """Return the entry of a key, or None if it is absent."""
@@ -127,7 +129,7 @@
             'GET',
             'kv-watch',
             query=query,
-            timeout_ms=wait_ms + _WATCH_MARGIN_MS,
+            timeout_ms=wait_ms + self._watch_margin_ms,
         )
         return _decode(_decode_changes, reader)
 
@@ -210,11 +212,9 @@
         body: Any = None,
         timeout_ms: float = 0,
     ) -> FieldReader:
-        if self._session is None:
-            raise StoreUnavailableError(operation, 'the client is closed')
         timeout_s = (timeout_ms or self._timeout_ms) / _MS_PER_S
         try:
-            async with self._session.request(
+            async with self._connections.call(
                 method,
                 f'{self._url}/{operation}',
                 params=query,
@@ -225,7 +225,13 @@
                 text = await response.read()
                 status = response.status
                 era_header = response.headers.get(_ERA_HEADER)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except TimeoutError as error:
+            raise StoreTimeoutError(
+                f'{operation} at the store',
+                f'no response within {timeout_s} s',
+                'a write may have taken effect',
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(
                 f'{operation} at the store',
                 str(error) or type(error).__name__,
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -59,6 +59,7 @@
     StoreNotFoundError as StoreNotFoundError,
 )
 from chivelead_protocol._internal.exceptions import (
+    StoreTimeoutError as StoreTimeoutError,
     StoreUnavailableError as StoreUnavailableError,
 )
 from chivelead_protocol._internal.guard_messages import (
--- a/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
@@ -58,6 +58,10 @@
     """The store is unavailable; a write may or may not have taken effect."""
 
 
+class StoreTimeoutError(StoreUnavailableError):
+    """The store did not respond in time; its connection may be silent."""
+
+
 class StoreConflictError(StoreError):
     """A conditional write failed because a key has another revision."""
 
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -61,7 +61,8 @@
     ``malformed_replies`` is set, every reply is HTML instead of JSON.  The next
     ``write_replies_to_drop`` writes take effect, but their replies are lost.
     While ``deaf_watches`` is set, watches report no changes.  Replies to an
-    operation in ``delays_s`` take that much longer.
+    operation in ``delays_s`` take that much longer.  What is sent on a
+    connection that ``silence_connections`` has chosen is lost.
     ``watch_counts`` counts the watch calls for each prefix.  ``era`` is sent
     with every reply; an ``era`` of None stands for a store without one.
     """
@@ -85,6 +86,7 @@
         self._last_lease_id = 0
         self._copies = {}
         self._changed = asyncio.Event()
+        self._silent_connections = set()
         self._runner = None
 
     @property
@@ -100,6 +102,12 @@
         """Stop listening."""
         await self._runner.cleanup()
 
+    def silence_connections(self, share=1.0):
+        """Silence a share of the open connections, chosen at random."""
+        for connection in self._runner.server.connections:
+            if random.random() < share:
+                self._silent_connections.add(connection)
+
     def come_back_as_of(self, revision):
         """Lose all changes after a revision, and give those out again."""
         copied = copy.deepcopy(self._copies[revision])
@@ -167,11 +175,17 @@
         self._changed = asyncio.Event()
 
     async def _handle_request(self, request):
+        await self._wait_if_silent(request)
         response = await self._dispatch_request(request)
+        await self._wait_if_silent(request)
         if self.era is not None:
             response.headers.setdefault('Store-Era', str(self.era))
         return response
 
+    async def _wait_if_silent(self, request):
+        if request.protocol in self._silent_connections:
+            await asyncio.Event().wait()
+
     async def _dispatch_request(self, request):
         self.call_count += 1
         await asyncio.sleep(0.002)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -43,14 +43,27 @@
         self.nodes = []
         self.session = None
 
-    async def start(self, routes=ROUTES, organisations=ORGANISATIONS):
-        """Start the fleet; wait until each node knows all targets as ready."""
+    async def start(
+        self,
+        routes=ROUTES,
+        organisations=ORGANISATIONS,
+        failure_domains=('z1',),
+    ):
+        """Start the fleet; wait until each node knows all targets as ready.
+
+        The VMs are in the failure domains in turn.
+        """
         self.session = aiohttp.ClientSession()
         await self.store.start()
         self.store.put('op/config', make_plan_text(5, routes, organisations))
         for index, target in enumerate(self.targets):
             await target.start()
-            settings = make_settings(f'vm-{index}', target, self.store)
+            settings = make_settings(
+                f'vm-{index}',
+                target,
+                self.store,
+                failure_domains[index % len(failure_domains)],
+            )
             self.settings.append(settings)
             node = await start_node(settings)
             self.nodes.append(node)
