--- a/packages/protocol/src/chivelead_protocol/_internal/channel.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -25,6 +25,10 @@
 
 # Room for a request body of the default limit, 64 MiB, and its headers.
 MAX_FRAME_BYTES = 75_497_472
+# While a frame arrives, the peer is told of the progress after this time in
+# which nothing else was sent.  It is shorter than the time after which a peer
+# with requests in flight takes the link for dead.
+_PROGRESS_PERIOD_MS = 250
 
 FrameHandler = Callable[[bytes], None]
 
@@ -35,6 +39,7 @@
     Attributes:
         last_received_ms: Time at which data last arrived, by ``now_ms``.
         sent_bytes: Total size of what was sent, delivered or not.
+        longest_silence_ms: Longest time between data that arrived.
         on_frame: Called with the payload of each binary frame.
         on_close: Called once when the connection has closed.
     """
@@ -43,9 +48,11 @@
         """Initialise the channel; the event loop connects it."""
         self.last_received_ms = now_ms()
         self.sent_bytes = 0
+        self.longest_silence_ms = 0.0
         self.on_frame: FrameHandler = _ignore_frame
         self.on_close: Callable[[], None] = _ignore_close
         self._protocol = protocol
+        self._last_sent_ms = self.last_received_ms
         self._transport: asyncio.Transport | None = None
         self._opened: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
@@ -75,9 +82,14 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Feed received bytes to the websocket protocol."""
-        self.last_received_ms = now_ms()
+        received_ms = now_ms()
+        self.longest_silence_ms = max(
+            self.longest_silence_ms, received_ms - self.last_received_ms
+        )
+        self.last_received_ms = received_ms
         self._protocol.receive_data(data)
-        self._handle_events()
+        if not self._handle_events():
+            self._confirm_progress()
 
     def eof_received(self) -> None:
         """Handle the end of the stream; the transport closes itself."""
@@ -150,8 +162,10 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _handle_events(self) -> None:
-        for event in self._protocol.events_received():
+    def _handle_events(self) -> bool:
+        """Handle what has arrived; return whether anything was complete."""
+        events = self._protocol.events_received()
+        for event in events:
             if isinstance(event, Frame):
                 self._handle_frame(event)
             elif isinstance(event, Request):
@@ -161,6 +175,15 @@
         self._flush()
         if self._protocol.close_expected() and self._transport is not None:
             self._transport.close()
+        return bool(events)
+
+    def _confirm_progress(self) -> None:
+        """Tell the peer that a part of a frame has arrived."""
+        since_sent_ms = self.last_received_ms - self._last_sent_ms
+        is_open = self._protocol.state is State.OPEN
+        if is_open and since_sent_ms > _PROGRESS_PERIOD_MS:
+            self._protocol.send_pong(b'')
+            self._flush()
 
     def _handle_frame(self, frame: Frame) -> None:
         # The sans-I/O protocol has answered control frames already.  Peers
@@ -194,6 +217,7 @@
                 return
             if chunk:
                 self.sent_bytes += len(chunk)
+                self._last_sent_ms = now_ms()
                 transport.write(chunk)
             elif transport.can_write_eof():
                 transport.write_eof()
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -3,7 +3,8 @@
 A link carries requests from the side that opened it, and the replies to them.
 It is closed if nothing is received for longer than ``RECEIVE_TIMEOUT_MS``, or
 ``BUSY_RECEIVE_TIMEOUT_MS`` with requests in flight, since TCP alone may take
-much longer to detect a dead peer.
+much longer to detect a dead peer.  Any data is a sign of life; the channel
+tells the sender of a large message that parts of it arrive.
 """
 
 import asyncio
--- a/packages/protocol/src/chivelead_protocol/_internal/link_server.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link_server.py
@@ -135,7 +135,6 @@
         self._message_handler = message_handler
         self._tasks: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
-        self._last_received_ms = now_ms()
         # Bytes sent on the channel up to the end of the last reply to a call.
         self._call_reply_end_bytes = 0
 
@@ -166,7 +165,8 @@
 
     async def _monitor_liveness(self) -> None:
         while not self._ended.is_set():
-            left_ms = self._last_received_ms + RECEIVE_TIMEOUT_MS - now_ms()
+            since_received_ms = now_ms() - self._channel.last_received_ms
+            left_ms = RECEIVE_TIMEOUT_MS - since_received_ms
             if left_ms <= 0:
                 return
             with contextlib.suppress(TimeoutError):
@@ -174,13 +174,12 @@
                     await self._ended.wait()
 
     def _handle_frame(self, raw: bytes) -> None:
-        if now_ms() - self._last_received_ms > RECEIVE_TIMEOUT_MS:
+        if self._channel.longest_silence_ms > RECEIVE_TIMEOUT_MS:
             # The process was paused.  The peer has timed out in the meantime,
             # so it does not wait for replies to the frames still buffered.
             self._ended.set()
         if self._ended.is_set():
             return
-        self._last_received_ms = now_ms()
         try:
             frame = decode_frame(raw)
         except ProtocolError as error:
--- a/packages/standins/src/chivelead_standins/_internal/fault_proxy.py
+++ b/packages/standins/src/chivelead_standins/_internal/fault_proxy.py
@@ -4,12 +4,14 @@
 import contextlib
 
 _CHUNK_BYTES = 65536
+_CHUNKS_PER_S = 50
 
 
 class FaultProxy:
     """Forward connections to a port; reject or stall them on demand.
 
-    Set ``refuse`` to close new connections immediately.
+    Set ``refuse`` to close new connections immediately, and ``bytes_per_s`` to
+    limit the rate of each connection and direction.
 
     Args:
         port: Port to listen on.
@@ -19,6 +21,7 @@
     def __init__(self, port: int, target_port: int) -> None:
         """Initialise without faults; ``start`` listens."""
         self.refuse = False
+        self.bytes_per_s = 0
         self._open = asyncio.Event()
         self._open.set()
         self._port = port
@@ -63,20 +66,24 @@
             writer.close()
             return
         for source, sink in ((reader, target_writer), (target_reader, writer)):
-            task = asyncio.create_task(_copy(source, sink))
+            task = asyncio.create_task(self._copy(source, sink))
             self._copy_tasks.add(task)
             task.add_done_callback(self._copy_tasks.discard)
 
-
-async def _copy(
-    source: asyncio.StreamReader,
-    sink: asyncio.StreamWriter,
-) -> None:
-    with contextlib.suppress(OSError):
-        while True:
-            chunk = await source.read(_CHUNK_BYTES)
-            if not chunk:
-                sink.close()
-                return
-            sink.write(chunk)
-            await sink.drain()
+    async def _copy(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                rate = self.bytes_per_s
+                chunk_bytes = rate // _CHUNKS_PER_S if rate else _CHUNK_BYTES
+                chunk = await source.read(chunk_bytes)
+                if not chunk:
+                    sink.close()
+                    return
+                if rate:
+                    await asyncio.sleep(len(chunk) / rate)
+                sink.write(chunk)
+                await sink.drain()
