--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -28,6 +28,8 @@
 # A target in trouble may send a head, or informational responses, without end.
 _MAX_HEAD_BYTES = 262_144
 _MAX_INFORMATIONAL_RESPONSES = 8
+# A request that is abandoned earlier says nothing about its connection.
+_MIN_SILENCE_MS = 250.0
 _MS_PER_S = 1000
 # In a header or a reason phrase, the start of a response that follows one whose
 # head was cut off.
@@ -47,6 +49,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Create a handler that the event loop will connect."""
         super().__init__(loop)
+        self.last_active_ms = 0.0
         self.idle_since_ms = 0.0
         self.idle_timeout_ms = _DEFAULT_IDLE_TIMEOUT_MS
         self._head_bytes = 0
@@ -54,6 +57,7 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; fail if they are no response for too long."""
+        self.last_active_ms = loop_ms()
         if self._is_idle:
             self.force_close()
         super().data_received(data)
@@ -106,6 +110,7 @@
             )
         self._head_bytes = 0
         self._is_idle = False
+        self.last_active_ms = loop_ms()
         self.transport.write(raw)
 
     def mark_idle(self, idle_timeout_ms: float) -> None:
@@ -209,6 +214,20 @@
         if not self._idle[0].is_reusable():
             self._idle.popleft().close()
 
+    def abandon(self, connection: TargetConnection) -> None:
+        """Close a connection whose request is given up.
+
+        If it was silent, the idle connections that have not been heard from
+        since may be silent too, so they are closed as well.
+        """
+        connection.abort()
+        silent_since_ms = connection.last_active_ms
+        if loop_ms() - silent_since_ms < _MIN_SILENCE_MS:
+            return
+        # The connection that has been idle longest is the first.
+        while self._idle and self._idle[0].idle_since_ms < silent_since_ms:
+            self._idle.popleft().close()
+
 
 def _contains_another_head(response_head: RawResponseMessage) -> bool:
     if _STATUS_LINE.search(response_head.reason):
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -185,7 +185,7 @@
         except BaseException:
             # The response to the abandoned request may still arrive, so the
             # connection cannot be reused.
-            connection.abort()
+            pool.abandon(connection)
             raise
         pool.release(connection, keep_alive_timeout_ms(response.headers))
         return response
