--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -133,6 +133,7 @@
             components.ingress,
             components.inbound,
             self._caller_connections,
+            self._control_connections,
             self._peer_server,
         ).wait(shutdown_started_ms)
         components.events.record_node_event(
--- a/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
@@ -33,16 +33,18 @@
         grace_ms: Time from the start of the stop until the process is killed.
         ingress: Requests of callers and of the own target.
         inbound: Calls to the own target.
-        callers: Connections of callers and of the own target.
+        callers: Connections on which requests arrive.
+        controllers: Connections on which the own target reports its state.
         peers: Links of the nodes that call the own target.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         grace_ms: float,
         ingress: ProxyIngress,
         inbound: InboundCalls,
         callers: ServerConnections,
+        controllers: ServerConnections,
         peers: PeerServer,
     ) -> None:
         """Create a drain that has not started."""
@@ -50,6 +52,7 @@
         self._ingress = ingress
         self._inbound = inbound
         self._callers = callers
+        self._controllers = controllers
         self._peers = peers
 
     async def wait(self, started_ms: float) -> None:
@@ -76,9 +79,13 @@
                 return
 
     def _is_answer_due(self) -> bool:
-        return bool(
+        unanswered = (
             self._inbound.in_flight
-            or self._callers.count_unanswered()
+            + self._callers.count_unanswered()
+            + self._controllers.count_unanswered()
+        )
+        return bool(
+            unanswered
             or self._callers.undelivered_bytes()
             or self._peers.count_due_replies()
         )
