--- a/packages/node/src/chivelead_node/_internal/calls.py
+++ b/packages/node/src/chivelead_node/_internal/calls.py
@@ -43,6 +43,7 @@
         queue_limit_ms: Maximum wait for admission; zero if only the deadline
             limits it.
         attempted_vms: VMs that the call was sent to, in order.
+        attempt_ids: IDs of these attempts.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     allowance: RetryAllowance
     queue_limit_ms: float = 0
     attempted_vms: list[str] = dataclasses.field(default_factory=list)
+    attempt_ids: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -99,6 +99,8 @@
         # Attempts of non-idempotent calls.  Cancelling one would leave its
         # outcome unknown without any benefit.
         self._uncancellable_attempts: set[str] = set()
+        self._admitted_attempts: set[str] = set()
+        self._withdrawn: set[str] = set()
 
     def find_running(self, token: str) -> calls.RunningRequest | None:
         """Return the running request that a token identifies, or None."""
@@ -122,6 +124,11 @@
         self.in_flight += 1
         try:
             return await self._run(request)
+        except asyncio.CancelledError:
+            if task is None or request.attempt_id not in self._withdrawn:
+                raise
+            task.uncancel()
+            return inbound_replies.withdrawn_reply()
         finally:
             self._forget_attempt(request.attempt_id)
 
@@ -129,10 +136,14 @@
         """Cancel an attempt whose caller has gone.
 
         Has no effect on a non-idempotent attempt once it has been admitted.
+        The reply to an attempt that was not admitted is a refusal.
         """
         task = self._tasks_by_attempt.get(attempt_id)
-        if task is not None and attempt_id not in self._uncancellable_attempts:
-            task.cancel()
+        if task is None or attempt_id in self._uncancellable_attempts:
+            return
+        if attempt_id not in self._admitted_attempts:
+            self._withdrawn.add(attempt_id)
+        task.cancel()
 
     def refuses_new_work(self, service: str) -> bool:
         """Return whether no target on this VM accepts calls to the service."""
@@ -154,6 +165,8 @@
         self.in_flight -= 1
         self._tasks_by_attempt.pop(attempt_id, None)
         self._uncancellable_attempts.discard(attempt_id)
+        self._admitted_attempts.discard(attempt_id)
+        self._withdrawn.discard(attempt_id)
 
     async def _run(self, request: CallRequest) -> CallReply:
         if request.notice is not None:
@@ -181,6 +194,7 @@
             return self._with_load_report(
                 inbound_replies.admission_refusal_reply(error.reason), allowance
             )
+        self._admitted_attempts.add(request.attempt_id)
         self._observer.admitted(request)
         self._events.record_call_event(
             'admitted',
--- a/packages/node/src/chivelead_node/_internal/inbound_replies.py
+++ b/packages/node/src/chivelead_node/_internal/inbound_replies.py
@@ -75,6 +75,18 @@
     )
 
 
+def withdrawn_reply() -> CallReply:
+    """Return the reply for a call whose caller left before it was admitted."""
+    return calls.refusal_reply(
+        calls.Refusal(
+            _UNAVAILABLE,
+            'caller-gone',
+            Outcome.not_run,
+            'the caller sends nothing more',
+        ),
+    )
+
+
 def timeout_reply() -> CallReply:
     """Return the reply if the target did not respond in time."""
     return calls.refusal_reply(
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -42,6 +42,9 @@
 # Reasons of refusals that come from the target rather than from a node.
 _REFUSALS_BY_TARGET = frozenset(('target-overload', 'target-refused'))
 
+# Reasons of refusals after which no other target is tried.
+_FINAL_REFUSALS = frozenset(('deadline', 'caller-gone'))
+
 # Reasons of failures that say nothing about the target.
 _DELIVERY_FAILURES = frozenset(
     ('unreachable', 'link-lost', 'not-encodable', 'timeout'),
@@ -136,6 +139,11 @@
             last_reply = reply
         raise AssertionError('unreachable')
 
+    async def withdraw(self, call: calls.Call) -> None:
+        """Refuse a call that still waits for a slot; others go on."""
+        if call.attempt_ids:
+            await self._cancel(call.attempted_vms[-1], call.attempt_ids[-1])
+
     def _choose_vm(self, call: calls.Call, tried: Collection[str]) -> str:
         members = self._available_members(call.service, tried)
         if not members:
@@ -220,6 +228,7 @@
         forwarded = self._retries.forwarded_allowance(call.allowance.remaining)
         call.allowance.remaining -= forwarded
         request = self._build_request(call, vm, forwarded)
+        call.attempt_ids.append(request.attempt_id)
         self._in_flight[vm] = self._in_flight.get(vm, 0) + 1
         self._events.record_call_event(
             'attempt',
@@ -367,7 +376,7 @@
 
 
 def _is_safe_to_retry(call: calls.Call, reply: CallReply) -> bool:
-    if reply.reason == 'deadline':
+    if reply.reason in _FINAL_REFUSALS:
         return False
     return call.idempotent or reply.outcome == Outcome.not_run
 
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -36,6 +36,7 @@
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.log_writer import LogWriter
 from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.proxy.call_runner import CallRunner
 from chivelead_node._internal.proxy.contacts import ContactDirectory
 from chivelead_node._internal.proxy.departures import DepartureRecords
 from chivelead_node._internal.proxy.dialect import PlatformDialect
@@ -103,6 +104,7 @@
     departures: DepartureRecords
     inbound: InboundCalls
     ingress: ProxyIngress
+    call_runner: CallRunner
     plan_feed: PlanFeed
     relay: DomainRelay
     reporter: FleetReporter
@@ -182,6 +184,7 @@
         events,
         estimates,
     )
+    call_runner = CallRunner(outbound)
     plan_feed = PlanFeed(
         store, era, PLAN_KEY, parse_plan, links, events, settings.bounds.plan_ms
     )
@@ -247,13 +250,14 @@
         ingress=ProxyIngress(
             HEADERS,
             settings.own_service,
-            outbound,
+            call_runner,
             quota,
             overload,
             events,
             metrics,
             buffer_limit_bytes,
         ),
+        call_runner=call_runner,
         plan_feed=plan_feed,
         relay=relay,
         reporter=reporter,
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -66,7 +66,7 @@
         self._caller_connections = ServerConnections(
             self._components.events,
             HEADERS.request_id,
-            self._components.ingress.handle_input_end,
+            self._components.call_runner.handle_input_end,
         )
         self._control_connections = ServerConnections(
             self._components.events, HEADERS.request_id
@@ -131,6 +131,7 @@
         await RequestDrain(
             self._settings.bounds.grace_ms,
             components.ingress,
+            components.call_runner.timeouts,
             components.inbound,
             self._caller_connections,
             self._control_connections,
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -14,24 +14,20 @@
 )
 from chivelead_coordination import FleetQuota
 from chivelead_policy import WeightedSplit
-from chivelead_protocol import CallReply, Headers, Outcome, loop_ms
+from chivelead_protocol import Headers, loop_ms
 
 from chivelead_node._internal import calls
 from chivelead_node._internal.events import EventLog
-from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.proxy.call_runner import CallRunner
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
 from chivelead_node._internal.proxy.overload import FleetOverload
-from chivelead_node._internal.proxy.request_timeouts import RequestTimeouts
 from chivelead_node._internal.proxy.responses import (
     add_jitter,
     response_from_refusal,
     response_from_reply,
 )
 from chivelead_node._internal.requests import read_body
-from chivelead_node._internal.server_connections import (
-    INPUT_END_GRACE_MS,
-    ServerConnection,
-)
+from chivelead_node._internal.server_connections import ServerConnection
 
 _UNAUTHORISED = 401
 _NOT_FOUND = 404
@@ -74,7 +70,7 @@
     Args:
         header_names: Names of the headers of callers and targets.
         own_service: Service of the target on this VM.
-        outbound: Sends the calls.
+        runner: Runs the calls.
         quota: Rate limits of organisations.
         overload: Tells which requests lead to overloaded services.
         events: Event log.
@@ -87,7 +83,7 @@
         self,
         header_names: HeaderNames,
         own_service: str,
-        outbound: OutboundCalls,
+        runner: CallRunner,
         quota: FleetQuota,
         overload: FleetOverload,
         events: EventLog,
@@ -98,10 +94,9 @@
         self.in_flight = 0
         # Late in the shutdown: refuse new requests.
         self.refusing = False
-        self.timeouts = RequestTimeouts()
         self._header_names = header_names
         self._own_service = own_service
-        self._outbound = outbound
+        self._runner = runner
         self._quota = quota
         self._overload = overload
         self._events = events
@@ -154,10 +149,6 @@
         finally:
             self.in_flight -= 1
 
-    def handle_input_end(self, connection: ServerConnection) -> None:
-        """End an idempotent request soon, as its caller may have gone."""
-        self.timeouts.limit_step(connection, loop_ms() + INPUT_END_GRACE_MS)
-
     async def _respond(
         self,
         request: web.BaseRequest,
@@ -179,7 +170,7 @@
             return response_from_refusal(refusal)
         self._buffered_bytes += len(call.body)
         try:
-            reply = await self._run(
+            reply = await self._runner.run(
                 call, cast('ServerConnection', request.protocol)
             )
         finally:
@@ -199,35 +190,15 @@
         )
         return response
 
-    async def _run(
-        self, call: calls.Call, connection: ServerConnection
-    ) -> CallReply:
-        steps = self._outbound.run(call)
-        try:
-            # Cancelling a request that must run once has no benefit.
-            if not call.idempotent:
-                return await self.timeouts.run(steps, call.deadline_ms)
-            end_ms = call.deadline_ms
-            if connection.input_ended:
-                end_ms = min(end_ms, loop_ms() + INPUT_END_GRACE_MS)
-            return await self.timeouts.run(steps, end_ms, connection)
-        except TimeoutError:
-            return calls.refusal_reply(
-                calls.Refusal(
-                    _GATEWAY_TIMEOUT,
-                    'caller-gone' if connection.input_ended else 'timeout',
-                    Outcome.unknown,
-                    'no answer came in time',
-                ),
-            )
-
     async def _read_body(
         self, request: web.BaseRequest, limit_bytes: int
     ) -> bytes:
         if not request.can_read_body:
             return b''
         try:
-            body = await self.timeouts.run(read_body(request, limit_bytes))
+            body = await self._runner.timeouts.run(
+                read_body(request, limit_bytes)
+            )
         except TimeoutError as error:
             raise _unavailable('closing') from error
         # The call could not end before the node does.
--- a/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
@@ -6,6 +6,7 @@
 
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.proxy.ingress import ProxyIngress
+from chivelead_node._internal.proxy.request_timeouts import RequestTimeouts
 from chivelead_node._internal.server_connections import ServerConnections
 
 # The platform sends callers to another VM after two failed readiness probes,
@@ -32,6 +33,7 @@
     Args:
         grace_ms: Time from the start of the stop until the process is killed.
         ingress: Requests of callers and of the own target.
+        timeouts: Timeouts of these requests.
         inbound: Calls to the own target.
         callers: Connections on which requests arrive.
         controllers: Connections on which the own target reports its state.
@@ -42,6 +44,7 @@
         self,
         grace_ms: float,
         ingress: ProxyIngress,
+        timeouts: RequestTimeouts,
         inbound: InboundCalls,
         callers: ServerConnections,
         controllers: ServerConnections,
@@ -50,6 +53,7 @@
         """Create a drain that has not started."""
         self._grace_ms = grace_ms
         self._ingress = ingress
+        self._timeouts = timeouts
         self._inbound = inbound
         self._callers = callers
         self._controllers = controllers
@@ -69,7 +73,7 @@
             _CALLER_FAILOVER_MS, time_for_requests_ms * _MAX_FAILOVER_FRACTION
         )
         end_ms = started_ms + time_for_requests_ms
-        self._ingress.timeouts.limit(end_ms)
+        self._timeouts.limit(end_ms)
         while now_ms() < end_ms + _LAST_RESPONSES_MS:
             await asyncio.sleep(_POLL_PERIOD_S)
             if now_ms() < refusing_from_ms:
--- a/packages/node/tests/unit/test_request_drain.py
+++ b/packages/node/tests/unit/test_request_drain.py
@@ -23,7 +23,6 @@
         self.undelivered = 0
         self.due_replies = 0
         self.refusing = False
-        self.timeouts = RequestTimeouts()
 
     def count_unanswered(self):
         return self.unanswered
@@ -40,6 +39,7 @@
     """Return the parts of a node that the drain asks."""
     return types.SimpleNamespace(
         ingress=Counts(),
+        timeouts=RequestTimeouts(),
         inbound=Counts(),
         callers=Counts(),
         controllers=Counts(),
--- a/tests/functional/test_platform_requests.py
+++ b/tests/functional/test_platform_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from lib.fake_platform import HOST
+from lib.node_process import RawClient
 from lib.platform_fleet import (
     AUTH_HEADERS,
     running_fleet,
@@ -103,6 +105,35 @@
             assert target.cancelled_count == index + 1
 
 
+# Guards against requests that reach a target long after their callers have
+# gone: they must run once, and wait for a slot.
+async def test_caller_disconnect_withdraws_a_request_in_a_queue():
+    routes = (('/book/', 'orders', 'unsafe', {'target_latency_ms': 16_000}),)
+    async with running_fleet('stock', 'orders', routes=routes) as fleet:
+        target = fleet.targets[1]
+        target.response_delay_s = 1.5
+        for index in (0, 1):
+            address = fleet.settings[index].callers_address
+            clients = [
+                await RawClient.connect(HOST, address.port) for _ in range(12)
+            ]
+            target.received_requests.clear()
+            for client in clients:
+                await client.send_request('POST', '/book/x')
+            await asyncio.sleep(0.1)
+            running = len(target.received_requests)
+            assert running < len(clients)
+            for client in clients:
+                client.close_sending_half()
+            await asyncio.sleep(0.5)
+            assert len(target.received_requests) == running
+            statuses = [(await client.read_response())[0] for client in clients]
+            assert statuses.count(200) == running
+            assert statuses.count(503) == len(clients) - running
+            for client in clients:
+                client.close()
+
+
 async def test_quota_is_enforced():
     organisations = (('mill', 'mill-key', {'requests_per_s': 2, 'burst': 5}),)
     async with running_fleet('stock', organisations=organisations) as fleet:
