Fault proxy: keep stalled connections open, and close all at the end

The writers of stalled connections had no reference, so the collector could close them while a test took them for silent. Those that it closed after the end of the event loop raised in __del__; in one run of test_platform_silent_store.py and test_stalled_connections.py together this made the import of hypothesis at the end of pytest fail ("AST constructor recursion depth mismatch"; exit status 1 after 11 passed tests).

--- a/packages/standins/src/chivelead_standins/_internal/fault_proxy.py
+++ b/packages/standins/src/chivelead_standins/_internal/fault_proxy.py
@@ -27,6 +27,8 @@
         self._port = port
         self._target_port = target_port
         self._server: asyncio.Server | None = None
+        # A writer that nothing refers to closes its connection.
+        self._writers: set[asyncio.StreamWriter] = set()
         self._copy_tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -38,11 +40,14 @@
         )
 
     async def close(self) -> None:
-        """Stop listening and forwarding."""
+        """Stop listening and forwarding, and close all connections."""
         if self._server is not None:
             self._server.close()
         for task in tuple(self._copy_tasks):
             task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
 
     def stall_open_connections(self) -> None:
         """Stop forwarding on the open connections, but keep them open."""
@@ -65,6 +70,7 @@
         except OSError:
             writer.close()
             return
+        self._writers.update((writer, target_writer))
         for source, sink in ((reader, target_writer), (target_reader, writer)):
             task = asyncio.create_task(self._copy(source, sink))
             self._copy_tasks.add(task)
@@ -82,6 +88,7 @@
                 chunk = await source.read(chunk_bytes)
                 if not chunk:
                     sink.close()
+                    self._writers.discard(sink)
                     return
                 if rate:
                     await asyncio.sleep(len(chunk) / rate)
