--- a/packages/coordination/src/chivelead_coordination/__init__.py
+++ b/packages/coordination/src/chivelead_coordination/__init__.py
@@ -99,6 +99,9 @@
     WatchableStore as WatchableStore,
 )
 from chivelead_coordination._internal.store import Write as Write
+from chivelead_coordination._internal.store_connections import (
+    StoreConnections as StoreConnections,
+)
 from chivelead_coordination._internal.store_era import (
     STORE_SOURCE as STORE_SOURCE,
 )
--- a/packages/coordination/src/chivelead_coordination/_internal/http_store.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/http_store.py
@@ -1,12 +1,16 @@
 """Client of the key-value store, over HTTP and JSON."""
 
-import asyncio
 from typing import Any
 
 import aiohttp
-from chivelead_protocol import StoreConflictError, StoreUnavailableError
+from chivelead_protocol import (
+    StoreConflictError,
+    StoreTimeoutError,
+    StoreUnavailableError,
+)
 
 from chivelead_coordination._internal.store import Store, StoredValue, Write
+from chivelead_coordination._internal.store_connections import StoreConnections
 
 _MS_PER_S = 1000
 _CONFLICT_STATUS = 409
@@ -23,20 +27,18 @@
     """
 
     def __init__(self, url: str, timeout_ms: int) -> None:
-        """Prepare the client; ``start`` opens the HTTP session."""
+        """Prepare the client; ``start`` allows calls."""
         self._url = url.rstrip('/')
         self._timeout_ms = timeout_ms
-        self._session: aiohttp.ClientSession | None = None
+        self._connections = StoreConnections()
 
     async def start(self) -> None:
-        """Open the HTTP session."""
-        self._session = aiohttp.ClientSession()
+        """Allow calls."""
+        await self._connections.start()
 
     async def close(self) -> None:
-        """Close the HTTP session."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close the connections."""
+        await self._connections.close()
 
     async def read(self, key: str) -> StoredValue | None:
         """Return the entry of a key, or None if it does not exist."""
@@ -98,14 +100,11 @@
         arguments: dict[str, Any],
         timeout_ms: int | None = None,
     ) -> Any:
-        if self._session is None:
-            raise StoreUnavailableError(
-                operation, 'the HTTP session is not open'
-            )
         limit_ms = timeout_ms or self._timeout_ms
         timeout = aiohttp.ClientTimeout(total=limit_ms / _MS_PER_S)
         try:
-            async with self._session.post(
+            async with self._connections.call(
+                'POST',
                 f'{self._url}/v1/{operation}',
                 json=arguments,
                 timeout=timeout,
@@ -118,7 +117,13 @@
                         f'HTTP status {response.status}',
                     )
                 return await response.json()
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except TimeoutError as error:
+            raise StoreTimeoutError(
+                f'{operation} at the store',
+                f'no response within {limit_ms} ms',
+                'a write may have taken effect',
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(
                 f'{operation} at the store',
                 str(error) or type(error).__name__,
--- a/packages/node/tests/unit/test_plan_budget.py
+++ b/packages/node/tests/unit/test_plan_budget.py
@@ -3,7 +3,7 @@
 import pytest
 from chivelead_node._internal.proxy import fleet_reporter
 from chivelead_node._internal.proxy.plan_budget import PlanBudget
-from chivelead_platform._internal.store_connections import MAX_IDLE_MS
+from chivelead_coordination._internal.store_connections import MAX_IDLE_MS
 
 # A call to the store and two between nodes.
 CALLS_MS = 150
--- a/packages/platform/src/chivelead_platform/_internal/store.py
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -13,6 +13,7 @@
     Change,
     Changes,
     Listing,
+    StoreConnections,
     StoredValue,
     StoreEra,
     WatchableStore,
@@ -29,7 +30,6 @@
 )
 
 from chivelead_platform._internal.process_settings import Address
-from chivelead_platform._internal.store_connections import StoreConnections
 from chivelead_platform._internal.values import FieldReader
 
 logger = logging.getLogger(__name__)
--- a/tests/functional/test_stalled_connections.py
+++ b/tests/functional/test_stalled_connections.py
@@ -49,6 +49,27 @@
     await server.close()
 
 
+# Guards against one timeout for each connection that has stalled.
+async def test_one_timeout_condemns_all_stalled_connections_to_the_store():
+    ports = free_ports()
+    store_port, proxy_port = next(ports), next(ports)
+    server = StoreServer()
+    await server.start(HOST, store_port)
+    proxy = FaultProxy(proxy_port, store_port)
+    await proxy.start()
+    store = HttpStore(f'http://{HOST}:{proxy_port}', 300)
+    await store.start()
+    await store.write(Write('key', 'text', 0))
+    await asyncio.gather(*(store.read('key') for _ in range(4)))
+    proxy.stall_open_connections()
+    with pytest.raises(StoreUnavailableError):
+        await store.read('key')
+    assert (await store.read('key')).text == 'text'
+    await store.close()
+    await proxy.close()
+    await server.close()
+
+
 async def test_stalled_link_fails_its_requests_and_a_new_link_works():
     ports = free_ports()
     peer_port, proxy_port = next(ports), next(ports)
