--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -24,6 +24,7 @@
 # never closes a connection on which a request may already be in transit.
 _IDLE_TIMEOUT_S = 20.0
 _HEADER_LIMIT_BYTES = 16_384
+_MAX_HEADERS = 1024
 # Connections that can wait to be accepted in a burst; the kernel may impose a
 # lower limit.
 _BACKLOG = 1024
@@ -85,6 +86,7 @@
             auto_decompress=False,
             max_line_size=_HEADER_LIMIT_BYTES,
             max_field_size=_HEADER_LIMIT_BYTES,
+            max_headers=_MAX_HEADERS,
         )
         runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
         await runner.setup()
--- a/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/server_connections.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from aiohttp import StreamReader, web
+from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 
 from chivelead_node._internal.chunked_ends import ReceivedBytes
@@ -15,6 +16,15 @@
     LingeringTransport,
 )
 
+_HEADERS_TOO_LARGE = 431
+_HEAD_REFUSAL = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+_MAX_HEAD_BYTES = 262_144
+# Message of the error of aiohttp, which has no type of its own.
+_TOO_MANY_HEADERS = 'Too many headers received'
+
 
 class ServerConnections:
     """The open connections of an HTTP server.
@@ -100,7 +110,8 @@
         self._received = ReceivedBytes()
         self._chunked_body: StreamReader | None = None
         # Nothing more is read on this connection.
-        self._has_trailers = False
+        self._stopped_reading = False
+        self._head_bytes = 0
 
     @property
     def client(self) -> str:
@@ -150,14 +161,17 @@
         for piece in self._received.split(data) or [data]:
             transport = self._open_transport
             is_lingering = transport is not None and transport.is_lingering
-            if is_lingering or self._has_trailers:
+            if is_lingering or self._stopped_reading:
                 return
             self._received.append(piece)
             queued = len(self._messages)
+            in_head = self._last_body is None or self._last_body.is_eof()
             super().data_received(piece)
             self._find_trailers(queued)
-            if self._messages:
+            if len(self._messages) > queued:
                 self._last_body = self._messages[-1][1]
+                in_head = False
+            self._limit_head(len(piece) if in_head else 0)
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """Handle the end of what the client sends.
@@ -182,7 +196,9 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; the last one closes the connection."""
         is_last = not self._messages and (
-            self.input_ended or self._has_trailers or self._connections.closing
+            self.input_ended
+            or self._stopped_reading
+            or self._connections.closing
         )
         # After a final response in place of the interim one, the client may
         # send the body or the next request.
@@ -190,6 +206,18 @@
             resp.force_close()
         return await super().finish_response(request, resp, start_time)
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that failed or is not valid."""
+        if isinstance(exc, LineTooLong) or message == _TOO_MANY_HEADERS:
+            status = _HEADERS_TOO_LARGE
+        return super().handle_error(request, status, exc, message)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
         self._connections.discard(self, exc)
@@ -218,9 +246,27 @@
                 return
             self._chunked_body = None
 
+    def _limit_head(self, received_bytes: int) -> None:
+        """Refuse a request whose head has many large fields without end.
+
+        Args:
+            received_bytes: Bytes just received if they belong to a head.
+        """
+        if received_bytes:
+            self._head_bytes += received_bytes
+        else:
+            self._head_bytes = 0
+        if self._head_bytes <= _MAX_HEAD_BYTES:
+            return
+        if self.has_unanswered_request:
+            self._stop_reading(0)
+        elif self.transport is not None:
+            self.transport.write(_HEAD_REFUSAL)
+            self.force_close()
+
     def _stop_reading(self, unread: int) -> None:
         """Close the connection after the responses to some of the requests."""
-        self._has_trailers = True
+        self._stopped_reading = True
         for _ in range(unread):
             self._messages.pop()
         if not self._messages:
--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -27,6 +27,7 @@
 # written at that moment is lost.
 _IDLE_MARGIN_MS = 1000.0
 _MAX_HEAD_LINE_BYTES = 65_536
+_MAX_HEADERS = 4096
 # A target in trouble may send a head, or informational responses, without end.
 _MAX_HEAD_BYTES = 262_144
 _MAX_INFORMATIONAL_RESPONSES = 8
@@ -97,6 +98,7 @@
             read_bufsize=_READ_BUFFER_BYTES,
             max_line_size=_MAX_HEAD_LINE_BYTES,
             max_field_size=_MAX_HEAD_LINE_BYTES,
+            max_headers=_MAX_HEADERS,
         )
 
     def write(self, raw: bytes) -> None:
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -254,3 +254,43 @@
     request = fleet.targets[1].requests.pop()
     assert request.find(b'x-hop') is None
     assert request.find(b'host') == b'shop.example'
+
+
+# Guards against requests and responses that fail since they have many small
+# header fields.
+async def test_many_header_fields_are_forwarded_unchanged(fleet):
+    fields = b''.join(b'X-%d: %d\r\n' % (index, index) for index in range(900))
+    for target in fleet.targets:
+        target.response_head = b'Content-Length: 0\r\n%s' % fields
+    async for request in assert_forwarded_unchanged(
+        fleet, b'GET x', fields, b''
+    ):
+        assert request.find(b'x-899') == b'899'
+    client = await connect(fleet)
+    response = await client.exchange(encode_raw_request(b'GET /book/x'))
+    client.close()
+    assert response.find(b'x-899') == b'899'
+
+
+# Guards against callers that cannot tell that their headers are too large.
+@pytest.mark.parametrize(
+    'fields', [b'X-Long: %s\r\n' % (b'x' * 17_000), b'A: 1\r\n' * 1100]
+)
+async def test_headers_over_the_limits_get_their_own_status(fleet, fields):
+    client = await connect(fleet)
+    response = await client.exchange(encode_raw_request(b'GET /book/x', fields))
+    client.close()
+    assert response.status == 431
+    assert not fleet.targets[1].requests
+
+
+# Guards against heads that fill the memory with fields that are each within the
+# limits.
+async def test_head_without_end_is_refused(fleet):
+    client = await connect(fleet)
+    field = b'X-Long: %s\r\n' % (b'x' * 16_000)
+    await client.send(b'GET /book/x HTTP/1.1\r\n%s' % (field * 20))
+    assert (await client.read_response(timeout_s=1)).status == 431
+    async with asyncio.timeout(1):
+        assert not await client.reader.read()
+    client.close()
