--- a/packages/node/src/chivelead_node/_internal/inbound_replies.py
+++ b/packages/node/src/chivelead_node/_internal/inbound_replies.py
@@ -1,11 +1,12 @@
 """Replies to calls to the target of this node."""
 
 from chivelead_policy import RefusalReason
-from chivelead_protocol import CallReply, Outcome
+from chivelead_protocol import CallReply, Headers, Outcome
 
 from chivelead_node._internal import calls
 from chivelead_node._internal.targets import TargetFailedError, TargetResponse
 
+_NOT_MODIFIED = 304
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
@@ -17,8 +18,8 @@
         'content-length',
         'upgrade',
         'trailer',
-        'date',
-        'server',
+        'te',
+        'proxy-connection',
         'chivelead-outcome',
         'chivelead-token',
     ),
@@ -43,11 +44,7 @@
         )
     return CallReply(
         status=response.status,
-        headers=tuple(
-            pair
-            for pair in response.headers
-            if pair[0].lower() not in _DROPPED_RESPONSE_HEADERS
-        ),
+        headers=_forwarded_headers(response),
         body=response.body,
         outcome=Outcome.done,
         reason='',
@@ -59,6 +56,20 @@
     )
 
 
+def _forwarded_headers(response: TargetResponse) -> Headers:
+    dropped = set(_DROPPED_RESPONSE_HEADERS)
+    for name, header_value in response.headers:
+        if name.lower() == 'connection':
+            options = header_value.lower().split(',')
+            dropped.update(option.strip() for option in options)
+    if response.status == _NOT_MODIFIED or response.is_head:
+        # The length of the body that is not sent.
+        dropped.discard('content-length')
+    return tuple(
+        pair for pair in response.headers if pair[0].lower() not in dropped
+    )
+
+
 def admission_refusal_reply(reason: RefusalReason) -> CallReply:
     """Return the reply for a request that was not admitted."""
     details = {
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -56,11 +56,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class TargetResponse:
-    """A complete response of a target."""
+    """A complete response of a target.
+
+    Attributes:
+        is_head: Whether the request was a HEAD request.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    is_head: bool = False
 
 
 class TargetFailedError(Exception):
@@ -188,7 +193,7 @@
             connection.abort()
             raise
         pool.release(connection, keep_alive_timeout_ms(response.headers))
-        return response
+        return dataclasses.replace(response, is_head=method == 'HEAD')
 
     async def _receive(
         self,
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -294,3 +294,50 @@
     async with asyncio.timeout(1):
         assert not await client.reader.read()
     client.close()
+
+
+# Guards against header fields of targets that are lost on the way to callers.
+@pytest.mark.parametrize(
+    ('method', 'status', 'fields', 'body'),
+    [
+        (b'GET', b'200 OK', (b'Date: Thu, 01 Jan 2026 00:00:00 GMT',), b'ok'),
+        (b'GET', b'404 Not Found', (b'Server: app', b'X-A:', b'X-A: 2'), b'no'),
+        (b'GET', b'200 OK', (b'Set-Cookie: b', b'Set-Cookie: a'), b''),
+        (b'HEAD', b'200 OK', (b'Content-Length: 77', b'ETag: "x"'), b''),
+        (b'GET', b'304 Not Modified', (b'Content-Length: 77',), b''),
+        (b'DELETE', b'204 No Content', (b'X-A: 1',), b''),
+    ],
+)
+async def test_response_is_forwarded_unchanged(
+    fleet, method, status, fields, body
+):
+    has_body = method == b'GET' and not status.startswith(b'304')
+    sent = list(fields)
+    if has_body:
+        sent.append(b'Content-Length: %d' % len(body))
+    for target, prefix in zip(fleet.targets, (b'read', b'book'), strict=True):
+        target.status_line = b'HTTP/1.1 %s' % status
+        target.response_head = b''.join(b'%s\r\n' % line for line in sent)
+        target.response_body = body
+        client = await connect(fleet)
+        raw = encode_raw_request(b'%s /%s/x' % (method, prefix))
+        response = await client.exchange(raw, has_body=has_body)
+        client.close()
+        assert response.start_line == b'HTTP/1.1 %s' % status
+        received = response.without({b'x-request-id', b'x-server-stamp'})
+        assert [(name.lower(), field) for name, field in received] == [
+            (name.lower(), field.strip())
+            for name, _, field in (line.partition(b':') for line in sent)
+        ]
+        assert response.body == body
+
+
+# Guards against header fields of targets that concern one connection only.
+async def test_connection_options_of_a_response_are_not_forwarded(fleet):
+    fleet.targets[
+        1
+    ].response_head = b'Content-Length: 0\r\nConnection: X-Hop\r\nX-Hop: 1\r\n'
+    client = await connect(fleet)
+    response = await client.exchange(encode_raw_request(b'GET /book/x'))
+    client.close()
+    assert response.find(b'x-hop') is None
