--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -28,6 +28,7 @@
     response_from_reply,
 )
 from chivelead_node._internal.proxy.server_connections import ServerConnection
+from chivelead_node._internal.raw_headers import decode_headers
 from chivelead_node._internal.requests import read_body
 
 _UNAUTHORISED = 401
@@ -375,7 +376,7 @@
             )
         kept = [
             (name, header_value)
-            for name, header_value in request.headers.items()
+            for name, header_value in decode_headers(request.raw_headers)
             if name.lower() not in dropped
         ]
         kept.append((self._header_names.origin_service, self._own_service))
--- a/packages/node/src/chivelead_node/_internal/requests.py
+++ b/packages/node/src/chivelead_node/_internal/requests.py
@@ -8,6 +8,7 @@
 
 from chivelead_node._internal import calls
 from chivelead_node._internal.expectations import send_continue
+from chivelead_node._internal.raw_headers import decode_headers
 
 _BAD_REQUEST = 400
 _UNAUTHORISED = 401
@@ -134,7 +135,7 @@
     api_key = request.headers.get('Authorization', '').partition(' ')[2].strip()
     return tuple(
         (name, header_value)
-        for name, header_value in request.headers.items()
+        for name, header_value in decode_headers(request.raw_headers)
         if name.lower() not in _DROPPED_REQUEST_HEADERS
         and not (api_key and api_key in header_value)
     )
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -9,6 +9,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from chivelead_protocol import Headers, TargetState, now_ms
 
+from chivelead_node._internal.raw_headers import decode_headers
 from chivelead_node._internal.target_connections import (
     TargetConnection,
     TargetConnectionPool,
@@ -203,7 +204,7 @@
         """Return the response, skipping those to earlier requests."""
         for _ in range(_MAX_STRAY_RESPONSES + 1):
             response_head, payload = await connection.read_response()
-            headers = tuple(response_head.headers.items())
+            headers = decode_headers(response_head.raw_headers)
             is_match = is_own_response(response_head.code, headers)
             body = await self._read_body(payload)
             if is_match:
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -42,19 +42,21 @@
     return await RawCaller.connect(HOST, port)
 
 
-async def assert_forwarded_unchanged(fleet, start, fields, body, **options):
+async def assert_forwarded_unchanged(
+    fleet, start, fields, body, *, has_body=True, **options
+):
     """Send a request to both targets; compare what they receive."""
     for index, prefix in enumerate((b'/read/', b'/book/')):
         method, _, path = start.partition(b' ')
         start_line = b'%s %s%s' % (method, prefix, path)
         raw = encode_raw_request(start_line, fields, body, **options)
         client = await connect(fleet)
-        response = await client.exchange(raw)
+        response = await client.exchange(raw, has_body=has_body)
         client.close()
         assert response.status == 200
         request = fleet.targets[index].requests[-1]
         sent_fields = [
-            (name.lower(), field.strip())
+            (name, field.strip())
             for name, _, field in (
                 line.partition(b':')
                 for line in raw.partition(b'\r\n\r\n')[0].split(b'\r\n')[1:]
@@ -62,10 +64,7 @@
             if name.lower() not in _SET_BY_NODES
         ]
         assert request.start_line == b'%s HTTP/1.1' % start_line
-        assert [
-            (name.lower(), field)
-            for name, field in request.without(_SET_BY_NODES)
-        ] == sent_fields
+        assert request.without(_SET_BY_NODES) == sent_fields
         yield request
 
 
@@ -325,8 +324,8 @@
         client.close()
         assert response.start_line == b'HTTP/1.1 %s' % status
         received = response.without({b'x-request-id', b'x-server-stamp'})
-        assert [(name.lower(), field) for name, field in received] == [
-            (name.lower(), field.strip())
+        assert received == [
+            (name, field.strip())
             for name, _, field in (line.partition(b':') for line in sent)
         ]
         assert response.body == body
@@ -341,3 +340,50 @@
     response = await client.exchange(encode_raw_request(b'GET /book/x'))
     client.close()
     assert response.find(b'x-hop') is None
+
+
+# Guards against requests whose target or header fields are changed on the way.
+@pytest.mark.parametrize(
+    ('start', 'fields', 'options'),
+    [
+        (b'GET x?', b'', {}),
+        (b'GET /a/../b//c;d=e', b'', {}),
+        (b'GET %2f%2F%zz%?q=%00&q=&&=#f', b'', {}),
+        (rb'GET [x]|"{}^`\<>?/?', b'', {}),
+        (b"GET x:y@z,!$&'()*+", b'', {}),
+        (b'HEAD x', b'', {}),
+        (b'OPTIONS x', b'', {}),
+        (b'PROPFIND x', b'Depth: 1\r\n', {}),
+        (b'DELETE x', b'', {}),
+        (b'GET x', b'', {'version': b'HTTP/1.0'}),
+        (
+            b'GET x',
+            b'B: 2\r\nA: 1\r\nb: 3\r\nB:\r\nCookie: a\r\nCookie: b\r\n',
+            {},
+        ),
+        (b'GET x', b'etag: 1\r\nX-request-ID2: 2\r\nuSER-aGENT: 3\r\n', {}),
+        (b'GET x', b'X-Space:  a  b \t\r\nX-Quoted: "a, b"\r\n', {}),
+        (b'GET x', b'Range: bytes=0-1\r\nAccept-Encoding: br;q=0.1\r\n', {}),
+    ],
+)
+async def test_request_is_forwarded_unchanged(fleet, start, fields, options):
+    if start.startswith(b'HEAD'):
+        options = {**options, 'has_body': False}
+    async for request in assert_forwarded_unchanged(
+        fleet, start, fields, b'', **options
+    ):
+        assert not request.body
+
+
+# Guards against bodies that are changed on the way, whatever they are sent as.
+@pytest.mark.parametrize('is_chunked', [True, False])
+@pytest.mark.parametrize('method', [b'POST', b'PUT', b'GET', b'DELETE'])
+async def test_body_is_forwarded_unchanged(fleet, method, is_chunked):
+    body = bytes(range(256)) * 40
+    fields = _CHUNKED if is_chunked else b''
+    raw = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body) if is_chunked else body
+    async for request in assert_forwarded_unchanged(
+        fleet, b'%s x' % method, fields, raw, length=not is_chunked
+    ):
+        assert request.body == body
+        assert request.find(b'content-length') == b'10240'
