--- a/packages/node/src/chivelead_node/_internal/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/daemon.py
@@ -180,6 +180,7 @@
                 self._settings.limits.caller_idle_ms / _MS_PER_S
             ),
             access_log=None,
+            auto_decompress=False,
         )
         timeout_ms = self._settings.limits.shutdown_timeout_ms
         runner = web.ServerRunner(
--- a/packages/standins/src/chivelead_standins/_internal/target_server.py
+++ b/packages/standins/src/chivelead_standins/_internal/target_server.py
@@ -116,6 +116,7 @@
                 self._handle_request,
                 handler_cancellation=True,
                 access_log=None,
+                auto_decompress=False,
             ),
             shutdown_timeout=1,
         )
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import gzip
+import hashlib
 import os
 import sys
 
@@ -135,6 +137,29 @@
         assert actual == (status, 'not-run', title)
 
 
+async def check_bodies(fleet):
+    """Check that bodies reach the target as they were sent, and at once."""
+    headers = {
+        'Authorization': f'Bearer {fleet.layout.organisations[0].key}',
+        'Content-Encoding': 'gzip',
+    }
+    for body in (gzip.compress(b'x' * 5000), b'only called gzip'):
+        for entry_url in fleet.layout.entry_urls():
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(
+                    f'{entry_url}/orders/book',
+                    headers=headers,
+                    data=body,
+                    expect100=True,
+                    timeout=aiohttp.ClientTimeout(3),
+                ) as response,
+            ):
+                assert response.status == 200
+                received = (await response.json())['received']
+        assert received == hashlib.sha256(body).hexdigest()
+
+
 async def check_commands(fleet, tmp_path):
     """Check the commands for edits, keys, status and history."""
     status, output = await run_cli(fleet, 'show', 'organisation/mill')
@@ -191,6 +216,7 @@
         ]
         await load_generator.run(streams, 3)
         await check_refusals(fleet)
+        await check_bodies(fleet)
         await check_commands(fleet, tmp_path)
         assert await fleet.terminate('orders-1') == 0
         await load_generator.close()
