--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -9,6 +9,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from chivelead_protocol import Headers, TargetState, now_ms
 
+from chivelead_node._internal.raw_headers import decode_headers
 from chivelead_node._internal.target_connections import (
     TargetConnection,
     TargetConnectionPool,
@@ -56,11 +57,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class TargetResponse:
-    """A complete response of a target."""
+    """A complete response of a target.
+
+    Attributes:
+        is_head: Whether the request was a HEAD request.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    is_head: bool = False
 
 
 class TargetFailedError(Exception):
@@ -188,7 +194,7 @@
             pool.abandon(connection)
             raise
         pool.release(connection, keep_alive_timeout_ms(response.headers))
-        return response
+        return dataclasses.replace(response, is_head=method == 'HEAD')
 
     async def _receive(
         self,
@@ -198,7 +204,7 @@
         """Return the response, skipping those to earlier requests."""
         for _ in range(_MAX_STRAY_RESPONSES + 1):
             response_head, payload = await connection.read_response()
-            headers = tuple(response_head.headers.items())
+            headers = decode_headers(response_head.raw_headers)
             is_match = is_own_response(response_head.code, headers)
             body = await self._read_body(payload)
             if is_match:
--- a/packages/node/tests/unit/test_plan_budget.py
+++ b/packages/node/tests/unit/test_plan_budget.py
@@ -1,9 +1,9 @@
 """Parts of the time in which a new plan must take effect."""
 
 import pytest
+from chivelead_coordination._internal.store_connections import MAX_IDLE_MS
 from chivelead_node._internal.proxy import fleet_reporter
 from chivelead_node._internal.proxy.plan_budget import PlanBudget
-from chivelead_coordination._internal.store_connections import MAX_IDLE_MS
 
 # A call to the store and two between nodes.
 CALLS_MS = 150
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -63,22 +63,9 @@
 )
 from chivelead_protocol._internal.exceptions import (
     StoreTimeoutError as StoreTimeoutError,
-    StoreUnavailableError as StoreUnavailableError,
-)
-from chivelead_protocol._internal.guard_messages import (
-    GuardBegin as GuardBegin,
-)
-from chivelead_protocol._internal.guard_messages import (
-    GuardDecision as GuardDecision,
-)
-from chivelead_protocol._internal.guard_messages import (
-    GuardEntry as GuardEntry,
-)
-from chivelead_protocol._internal.guard_messages import (
-    GuardFinish as GuardFinish,
 )
-from chivelead_protocol._internal.guard_messages import (
-    GuardHandover as GuardHandover,
+from chivelead_protocol._internal.exceptions import (
+    StoreUnavailableError as StoreUnavailableError,
 )
 from chivelead_protocol._internal.fleet_messages import (
     ChangePosition as ChangePosition,
@@ -116,6 +103,21 @@
 from chivelead_protocol._internal.fleet_messages import (
     TargetLoad as TargetLoad,
 )
+from chivelead_protocol._internal.guard_messages import (
+    GuardBegin as GuardBegin,
+)
+from chivelead_protocol._internal.guard_messages import (
+    GuardDecision as GuardDecision,
+)
+from chivelead_protocol._internal.guard_messages import (
+    GuardEntry as GuardEntry,
+)
+from chivelead_protocol._internal.guard_messages import (
+    GuardFinish as GuardFinish,
+)
+from chivelead_protocol._internal.guard_messages import (
+    GuardHandover as GuardHandover,
+)
 from chivelead_protocol._internal.link import PeerLink as PeerLink
 from chivelead_protocol._internal.link_server import PeerServer as PeerServer
 from chivelead_protocol._internal.membership_messages import (
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -42,19 +42,21 @@
     return await RawCaller.connect(HOST, port)
 
 
-async def assert_forwarded_unchanged(fleet, start, fields, body, **options):
+async def assert_forwarded_unchanged(
+    fleet, start, fields, body, *, has_body=True, **options
+):
     """Send a request to both targets; compare what they receive."""
     for index, prefix in enumerate((b'/read/', b'/book/')):
         method, _, path = start.partition(b' ')
         start_line = b'%s %s%s' % (method, prefix, path)
         raw = encode_raw_request(start_line, fields, body, **options)
         client = await connect(fleet)
-        response = await client.exchange(raw)
+        response = await client.exchange(raw, has_body=has_body)
         client.close()
         assert response.status == 200
         request = fleet.targets[index].requests[-1]
         sent_fields = [
-            (name.lower(), field.strip())
+            (name, field.strip())
             for name, _, field in (
                 line.partition(b':')
                 for line in raw.partition(b'\r\n\r\n')[0].split(b'\r\n')[1:]
@@ -62,10 +64,7 @@
             if name.lower() not in _SET_BY_NODES
         ]
         assert request.start_line == b'%s HTTP/1.1' % start_line
-        assert [
-            (name.lower(), field)
-            for name, field in request.without(_SET_BY_NODES)
-        ] == sent_fields
+        assert request.without(_SET_BY_NODES) == sent_fields
         yield request
 
 
@@ -254,3 +253,137 @@
     request = fleet.targets[1].requests.pop()
     assert request.find(b'x-hop') is None
     assert request.find(b'host') == b'shop.example'
+
+
+# Guards against requests and responses that fail since they have many small
+# header fields.
+async def test_many_header_fields_are_forwarded_unchanged(fleet):
+    fields = b''.join(b'X-%d: %d\r\n' % (index, index) for index in range(900))
+    for target in fleet.targets:
+        target.response_head = b'Content-Length: 0\r\n%s' % fields
+    async for request in assert_forwarded_unchanged(
+        fleet, b'GET x', fields, b''
+    ):
+        assert request.find(b'x-899') == b'899'
+    client = await connect(fleet)
+    response = await client.exchange(encode_raw_request(b'GET /book/x'))
+    client.close()
+    assert response.find(b'x-899') == b'899'
+
+
+# Guards against callers that cannot tell that their headers are too large.
+@pytest.mark.parametrize(
+    'fields', [b'X-Long: %s\r\n' % (b'x' * 17_000), b'A: 1\r\n' * 1100]
+)
+async def test_headers_over_the_limits_get_their_own_status(fleet, fields):
+    client = await connect(fleet)
+    response = await client.exchange(encode_raw_request(b'GET /book/x', fields))
+    client.close()
+    assert response.status == 431
+    assert not fleet.targets[1].requests
+
+
+# Guards against heads that fill the memory with fields that are each within the
+# limits.
+async def test_head_without_end_is_refused(fleet):
+    client = await connect(fleet)
+    field = b'X-Long: %s\r\n' % (b'x' * 16_000)
+    await client.send(b'GET /book/x HTTP/1.1\r\n%s' % (field * 20))
+    assert (await client.read_response(timeout_s=1)).status == 431
+    async with asyncio.timeout(1):
+        assert not await client.reader.read()
+    client.close()
+
+
+# Guards against header fields of targets that are lost on the way to callers.
+@pytest.mark.parametrize(
+    ('method', 'status', 'fields', 'body'),
+    [
+        (b'GET', b'200 OK', (b'Date: Thu, 01 Jan 2026 00:00:00 GMT',), b'ok'),
+        (b'GET', b'404 Not Found', (b'Server: app', b'X-A:', b'X-A: 2'), b'no'),
+        (b'GET', b'200 OK', (b'Set-Cookie: b', b'Set-Cookie: a'), b''),
+        (b'HEAD', b'200 OK', (b'Content-Length: 77', b'ETag: "x"'), b''),
+        (b'GET', b'304 Not Modified', (b'Content-Length: 77',), b''),
+        (b'DELETE', b'204 No Content', (b'X-A: 1',), b''),
+    ],
+)
+async def test_response_is_forwarded_unchanged(
+    fleet, method, status, fields, body
+):
+    has_body = method == b'GET' and not status.startswith(b'304')
+    sent = list(fields)
+    if has_body:
+        sent.append(b'Content-Length: %d' % len(body))
+    for target, prefix in zip(fleet.targets, (b'read', b'book'), strict=True):
+        target.status_line = b'HTTP/1.1 %s' % status
+        target.response_head = b''.join(b'%s\r\n' % line for line in sent)
+        target.response_body = body
+        client = await connect(fleet)
+        raw = encode_raw_request(b'%s /%s/x' % (method, prefix))
+        response = await client.exchange(raw, has_body=has_body)
+        client.close()
+        assert response.start_line == b'HTTP/1.1 %s' % status
+        received = response.without({b'x-request-id', b'x-server-stamp'})
+        assert received == [
+            (name, field.strip())
+            for name, _, field in (line.partition(b':') for line in sent)
+        ]
+        assert response.body == body
+
+
+# Guards against header fields of targets that concern one connection only.
+async def test_connection_options_of_a_response_are_not_forwarded(fleet):
+    fleet.targets[
+        1
+    ].response_head = b'Content-Length: 0\r\nConnection: X-Hop\r\nX-Hop: 1\r\n'
+    client = await connect(fleet)
+    response = await client.exchange(encode_raw_request(b'GET /book/x'))
+    client.close()
+    assert response.find(b'x-hop') is None
+
+
+# Guards against requests whose target or header fields are changed on the way.
+@pytest.mark.parametrize(
+    ('start', 'fields', 'options'),
+    [
+        (b'GET x?', b'', {}),
+        (b'GET /a/../b//c;d=e', b'', {}),
+        (b'GET %2f%2F%zz%?q=%00&q=&&=#f', b'', {}),
+        (rb'GET [x]|"{}^`\<>?/?', b'', {}),
+        (b"GET x:y@z,!$&'()*+", b'', {}),
+        (b'HEAD x', b'', {}),
+        (b'OPTIONS x', b'', {}),
+        (b'PROPFIND x', b'Depth: 1\r\n', {}),
+        (b'DELETE x', b'', {}),
+        (b'GET x', b'', {'version': b'HTTP/1.0'}),
+        (
+            b'GET x',
+            b'B: 2\r\nA: 1\r\nb: 3\r\nB:\r\nCookie: a\r\nCookie: b\r\n',
+            {},
+        ),
+        (b'GET x', b'etag: 1\r\nX-request-ID2: 2\r\nuSER-aGENT: 3\r\n', {}),
+        (b'GET x', b'X-Space:  a  b \t\r\nX-Quoted: "a, b"\r\n', {}),
+        (b'GET x', b'Range: bytes=0-1\r\nAccept-Encoding: br;q=0.1\r\n', {}),
+    ],
+)
+async def test_request_is_forwarded_unchanged(fleet, start, fields, options):
+    if start.startswith(b'HEAD'):
+        options = {**options, 'has_body': False}
+    async for request in assert_forwarded_unchanged(
+        fleet, start, fields, b'', **options
+    ):
+        assert not request.body
+
+
+# Guards against bodies that are changed on the way, whatever they are sent as.
+@pytest.mark.parametrize('is_chunked', [True, False])
+@pytest.mark.parametrize('method', [b'POST', b'PUT', b'GET', b'DELETE'])
+async def test_body_is_forwarded_unchanged(fleet, method, is_chunked):
+    body = bytes(range(256)) * 40
+    fields = _CHUNKED if is_chunked else b''
+    raw = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body) if is_chunked else body
+    async for request in assert_forwarded_unchanged(
+        fleet, b'%s x' % method, fields, raw, length=not is_chunked
+    ):
+        assert request.body == body
+        assert request.find(b'content-length') == b'10240'
