--- a/packages/policy/src/chivelead_policy/__init__.py
+++ b/packages/policy/src/chivelead_policy/__init__.py
@@ -12,6 +12,27 @@
 from chivelead_policy._internal.call_graph import (
     CallGraphLearner as CallGraphLearner,
 )
+from chivelead_policy._internal.harmful_requests import (
+    ENDS_UNTIL_HARMFUL as ENDS_UNTIL_HARMFUL,
+)
+from chivelead_policy._internal.harmful_requests import (
+    MAX_ENDS as MAX_ENDS,
+)
+from chivelead_policy._internal.harmful_requests import (
+    MAX_REQUESTS_PER_END as MAX_REQUESTS_PER_END,
+)
+from chivelead_policy._internal.harmful_requests import (
+    HarmfulRequest as HarmfulRequest,
+)
+from chivelead_policy._internal.harmful_requests import (
+    TargetEnd as TargetEnd,
+)
+from chivelead_policy._internal.harmful_requests import (
+    TargetEndLedger as TargetEndLedger,
+)
+from chivelead_policy._internal.harmful_requests import (
+    select_fingerprints as select_fingerprints,
+)
 from chivelead_policy._internal.limits import LIMITS as LIMITS
 from chivelead_policy._internal.limits import Completion as Completion
 from chivelead_policy._internal.outliers import (
