--- a/packages/config/src/chivelead_config/_internal/adapter_types.py
+++ b/packages/config/src/chivelead_config/_internal/adapter_types.py
@@ -55,6 +55,7 @@
         sequence: Increases with each announcement since the start.
         slots: Number of requests that the target can run at once.
         warmup_left_ms: Time until the target has warmed up after its start.
+        version: Version of its software; empty if unknown.
     """
 
     target_id: str
@@ -66,6 +67,7 @@
     slots: int
     state: TargetState
     warmup_left_ms: float
+    version: str = ''
 
 
 class NodeRequestKind(enum.StrEnum):
--- a/packages/node/src/chivelead_node/_internal/inbound.py
+++ b/packages/node/src/chivelead_node/_internal/inbound.py
@@ -24,6 +24,7 @@
 from chivelead_node._internal.dialects import TargetDialect
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.metrics import CallMetrics
+from chivelead_node._internal.request_guard import HARMFUL_REQUEST, RequestGuard
 from chivelead_node._internal.target_notices import (
     OwnTargetNotices,
     SignalRecorder,
@@ -71,6 +72,7 @@
         dialect: Header conventions of the target.
         observer: Receives admission results; optional.
         notices: What the target says about the work that it takes; optional.
+        guard: Refuses requests that end targets; optional.
     """
 
     def __init__(  # noqa: WPS211
@@ -82,6 +84,7 @@
         dialect: TargetDialect,
         observer: AdmissionObserver | None = None,
         notices: OwnTargetNotices | None = None,
+        guard: RequestGuard | None = None,
     ) -> None:
         """Create a handler with no calls running."""
         self.draining = False
@@ -93,6 +96,7 @@
         self._dialect = dialect
         self._observer = observer or AdmissionObserver()
         self._notices = notices or OwnTargetNotices()
+        self._guard = guard or RequestGuard()
         self._running_by_token: dict[str, calls.RunningRequest] = {}
         self._tasks_by_attempt: dict[str, asyncio.Task[Any]] = {}
         self._started_attempts: dict[str, None] = {}
@@ -172,6 +176,11 @@
         if request.notice is not None:
             self._notices.apply_peer_notice(request.notice)
         allowance = calls.RetryAllowance(request.retry_allowance)
+        refusal = self._guard.find_refusal(request)
+        if refusal is not None:
+            return self._with_load_report(
+                calls.refusal_reply(refusal), allowance
+            )
         arrived_ms = loop_ms()
         deadline_ms = arrived_ms + request.timeout_ms
         try:
@@ -239,14 +248,17 @@
         reply = inbound_replies.timeout_reply()
         shed = False
         failed = True
+        self._guard.started(request)
         try:
             async with asyncio.timeout_at(deadline_ms / _MS_PER_S):
                 response = await self._call_target(request, token, deadline_ms)
             failed = False
             shed = self._dialect.is_overload_refusal(response)
             reply = inbound_replies.reply_from_response(response, shed=shed)
+            if not shed:
+                self._guard.answered(request)
         except TargetFailedError as error:
-            reply = inbound_replies.target_failure_reply(error)
+            reply = await self._reply_to_failure(request, error)
         except TimeoutError:
             self._metrics.count('target.timeout')
         finally:
@@ -255,6 +267,13 @@
         self._record_end(request, reply, loop_ms() - started_ms)
         return self._with_load_report(reply, allowance)
 
+    async def _reply_to_failure(
+        self, request: CallRequest, error: TargetFailedError
+    ) -> CallReply:
+        if error.may_have_run and await self._guard.is_final_failure(request):
+            return calls.refusal_reply(HARMFUL_REQUEST)
+        return inbound_replies.target_failure_reply(error)
+
     def _release(
         self,
         request: CallRequest,
@@ -263,6 +282,7 @@
         shed: bool,
         failed: bool,
     ) -> None:
+        self._guard.ended(request)
         self._observer.ended(request, answered=not failed)
         self._admission.release(
             Completion(
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -31,6 +31,7 @@
 from chivelead_node._internal import calls
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.links import LinkPool
+from chivelead_node._internal.request_guard import HARMFUL_REQUEST
 from chivelead_node._internal.target_estimates import TargetEstimates
 from chivelead_node._internal.target_notices import PeerTargetNotices
 
@@ -43,7 +44,7 @@
 _REFUSALS_BY_TARGET = frozenset(('target-overload', 'target-refused'))
 
 # Reasons of refusals after which no other target is tried.
-_FINAL_REFUSALS = frozenset(('deadline', 'caller-gone'))
+_FINAL_REFUSALS = frozenset(('deadline', 'caller-gone', HARMFUL_REQUEST.reason))
 
 # Reasons of failures that say nothing about the target.
 _DELIVERY_FAILURES = frozenset(
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -28,6 +28,7 @@
     Admission,
     FleetBudgetRetries,
     RetryBudget,
+    TargetEndLedger,
 )
 from chivelead_protocol import HybridClock, Member, TargetState
 
@@ -42,6 +43,9 @@
 from chivelead_node._internal.proxy.dialect import PlatformDialect
 from chivelead_node._internal.proxy.domain_relay import DomainRelay
 from chivelead_node._internal.proxy.fleet_reporter import FleetReporter
+from chivelead_node._internal.proxy.harmful_requests import (
+    HarmfulRequestGuard,
+)
 from chivelead_node._internal.proxy.http_servers import ControlApiFormat
 from chivelead_node._internal.proxy.ingress import ProxyIngress
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
@@ -53,6 +57,9 @@
 from chivelead_node._internal.proxy.plan_feed import PlanFeed
 from chivelead_node._internal.proxy.probe import TargetProber
 from chivelead_node._internal.proxy.registration import TargetRegistration
+from chivelead_node._internal.proxy.target_end_exchange import (
+    TargetEndExchange,
+)
 from chivelead_node._internal.proxy.target_health import (
     TargetCallMonitor,
     TargetHealthMonitor,
@@ -112,6 +119,7 @@
     publisher: TargetStatePublisher
     prober: TargetProber
     health_monitor: TargetHealthMonitor
+    target_ends: TargetEndExchange
 
 
 def build_components(
@@ -164,6 +172,14 @@
     overload = FleetOverload()
     call_monitor = TargetCallMonitor(overload)
     notices = PlatformTargetNotices(HEADERS, registration, admission, events)
+    ledger = TargetEndLedger()
+    target_ends = TargetEndExchange(
+        ledger,
+        membership,
+        LinkPool(membership, LINK_SECRET, clock),
+        events,
+        metrics,
+    )
     inbound = InboundCalls(
         target,
         admission,
@@ -172,6 +188,7 @@
         PlatformDialect(HEADERS, registration),
         call_monitor,
         notices,
+        HarmfulRequestGuard(ledger, target_ends, registration, events, metrics),
     )
     estimates = RoutingEstimates(random.getrandbits(_SEED_BITS))
     outbound = OutboundCalls(
@@ -276,6 +293,7 @@
         health_monitor=TargetHealthMonitor(
             call_monitor, registration, publisher, prober, events
         ),
+        target_ends=target_ends,
     )
 
 
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -23,6 +23,7 @@
     ProtocolError,
     now_ms,
     start_supervised,
+    target_end_messages,
 )
 
 from chivelead_node._internal.log_writer import LogWriter
@@ -31,6 +32,9 @@
     LINK_SECRET,
     build_components,
 )
+from chivelead_node._internal.proxy.harmful_request_api import (
+    HarmfulRequestApi,
+)
 from chivelead_node._internal.proxy.http_servers import (
     ControlApi,
     HttpServers,
@@ -99,6 +103,7 @@
         self._add_listeners()
         await components.store.start()
         await components.links.start()
+        await components.target_ends.start()
         await components.departures.start(
             components.reporter.tell_peers, restore=not settings.first_start
         )
@@ -186,6 +191,7 @@
             components.plan_feed,
             components.contacts,
             components.departures,
+            components.target_ends,
             components.links,
         ):
             await component.close()
@@ -222,7 +228,10 @@
         await self._servers.listen(
             settings.host,
             METRICS_PORT,
-            MetricsEndpoint(components.metrics).handle_request,
+            HarmfulRequestApi(
+                components.target_ends,
+                MetricsEndpoint(components.metrics).handle_request,
+            ).handle_request,
             self._control_connections,
         )
 
@@ -240,7 +249,11 @@
             return components.plan_feed.handle_pull()
         if isinstance(message, MemberNotice):
             components.membership.merge((message.member,))
-        if isinstance(message, Ping | MemberNotice):
+        if isinstance(message, target_end_messages.TargetEndNotice):
+            components.target_ends.handle_notice(vm, message)
+        if isinstance(
+            message, Ping | MemberNotice | target_end_messages.TargetEndNotice
+        ):
             return Pong()
         raise ProtocolError(
             f'handle request from {vm}',
--- a/packages/platform/src/chivelead_platform/_internal/announcements.py
+++ b/packages/platform/src/chivelead_platform/_internal/announcements.py
@@ -20,6 +20,7 @@
 _MAX_PORT = 65_535
 # No target handles more requests at once.
 _MAX_SLOTS = 1_000_000
+_MAX_VERSION_LENGTH = 100
 _STATES = types.MappingProxyType(
     {'ready': TargetState.ready, 'draining': TargetState.draining},
 )
@@ -74,6 +75,7 @@
         slots=_parse_slots(info_fields),
         state=state,
         warmup_left_ms=status.number('warmup_left_ms', 0),
+        version=_parse_version(info_fields),
     )
 
 
@@ -93,6 +95,15 @@
     return host, port
 
 
+def _parse_version(info_fields: FieldReader) -> str:
+    """Return the version, or an empty string if it is missing or invalid."""
+    try:
+        version = info_fields.string('version', '')
+    except ConfigurationError:
+        return ''
+    return version[:_MAX_VERSION_LENGTH]
+
+
 def _parse_slots(info_fields: FieldReader) -> int:
     slots = info_fields.count('slots')
     if slots > _MAX_SLOTS:
--- a/packages/policy/src/chivelead_policy/_internal/harmful_requests.py
+++ b/packages/policy/src/chivelead_policy/_internal/harmful_requests.py
@@ -16,6 +16,12 @@
 ENDS_UNTIL_HARMFUL = 3
 # After this time without a further end, a harmful request may run again.
 HOLD_MS = 300_000.0
+# For requests that ran at the same ends: the next one tells them apart.
+AMBIGUOUS_HOLD_MS = 30_000.0
+# A request that may prove harmful runs at one target only, so that it does not
+# end several while nodes tell each other.
+_ENDS_UNTIL_CONFINED = 2
+_CONFINED_MS = 2000.0
 # A request that ends a target within this time is harmful again at once.
 RETENTION_MS = 1_800_000.0
 MAX_ENDS = 256
@@ -46,10 +52,12 @@
 
     Attributes:
         ends: The ends that are evidence, in order of time.
+        is_ambiguous: Whether others ran at the same ends.
     """
 
     fingerprint: str
     ends: tuple[TargetEnd, ...]
+    is_ambiguous: bool
 
     def is_held(self, version: str, time_ms: float) -> bool:
         """Return whether targets of a version must not run the request.
@@ -60,7 +68,8 @@
             version: Version of the target; empty if unknown.
             time_ms: Current time.
         """
-        if self.ends[-1].ended_ms + HOLD_MS <= time_ms:
+        hold_ms = AMBIGUOUS_HOLD_MS if self.is_ambiguous else HOLD_MS
+        if self.ends[-1].ended_ms + hold_ms <= time_ms:
             return False
         return not version or any(
             end.version in {version, ''} for end in self.ends
@@ -108,12 +117,13 @@
 
         Args:
             end: The end.
-            time_ms: Current time; what is too old is forgotten.
+            time_ms: Current time; an end that is too old is not added.
         """
         if end.end_id in self._ends or end.ended_ms <= time_ms - RETENTION_MS:
             return False
         self._ends[end.end_id] = end
-        self._forget(time_ms)
+        latest = self.ends[-MAX_ENDS:]
+        self._ends = {kept.end_id: kept for kept in latest}
         self._judge()
         return end.end_id in self._ends
 
@@ -128,6 +138,28 @@
         if fingerprint in self._evidence:
             self._judge()
 
+    def expire(self, time_ms: float) -> None:
+        """Forget what is too old.
+
+        Args:
+            time_ms: Current time.
+        """
+        oldest_ms = time_ms - RETENTION_MS
+        expired = [
+            end.end_id
+            for end in self._ends.values()
+            if end.ended_ms <= oldest_ms
+        ]
+        for end_id in expired:
+            self._ends.pop(end_id)
+        self._answered_ms = {
+            fingerprint: answered_ms
+            for fingerprint, answered_ms in self._answered_ms.items()
+            if answered_ms > oldest_ms
+        }
+        if expired:
+            self._judge()
+
     def is_suspected(self, fingerprint: str) -> bool:
         """Return whether a request was running at an end and not answered."""
         return fingerprint in self._evidence
@@ -136,6 +168,21 @@
         """Return the ends under a request since its last answer."""
         return len(self._evidence.get(fingerprint, ()))
 
+    def is_confined(self, fingerprint: str, time_ms: float) -> bool:
+        """Return whether a request may run at one target of the service only.
+
+        Args:
+            fingerprint: Identifies the request.
+            time_ms: Current time.
+        """
+        if fingerprint in self._harmful:
+            return True
+        ends = self._evidence.get(fingerprint, [])
+        return (
+            len(ends) >= _ENDS_UNTIL_CONFINED
+            and ends[-1].ended_ms + _CONFINED_MS > time_ms
+        )
+
     def find_held(
         self, fingerprint: str, version: str, time_ms: float
     ) -> HarmfulRequest | None:
@@ -151,12 +198,6 @@
             return None
         return harmful
 
-    def _forget(self, time_ms: float) -> None:
-        kept = [
-            end for end in self.ends if end.ended_ms > time_ms - RETENTION_MS
-        ]
-        self._ends = {end.end_id: end for end in kept[-MAX_ENDS:]}
-
     def _judge(self) -> None:
         evidence = collections.defaultdict(list)
         for end in self.ends:
@@ -204,7 +245,11 @@
         ]
         explained: set[str] = set()
         for fingerprint in found:
-            yield HarmfulRequest(fingerprint, tuple(evidence[fingerprint]))
+            yield HarmfulRequest(
+                fingerprint,
+                tuple(evidence[fingerprint]),
+                is_ambiguous=len(found) > 1,
+            )
             explained.update(end.end_id for end in evidence[fingerprint])
         unexplained = {
             fingerprint: left
--- a/packages/policy/tests/unit/test_harmful_requests.py
+++ b/packages/policy/tests/unit/test_harmful_requests.py
@@ -156,6 +156,28 @@
     assert ledger.find_held('x', 'v1', later_ms + 1) is not None
 
 
+# Guards against a bystander of all ends that stays condemned for long.
+def test_requests_with_the_same_ends_are_told_apart_by_the_next():
+    ledger = _ledger_of([_end(number, 'x', 'y') for number in range(1, 4)])
+    assert ledger.find_held('y', 'v1', 1000.0) is not None
+    later_ms = 40_000.0
+    assert ledger.find_held('x', 'v1', later_ms) is None
+    ledger.add_end(_end(4, 'x', ended_ms=later_ms), later_ms)
+    assert _harmful_names(ledger) == {'x'}
+    assert ledger.find_held('x', 'v1', later_ms + 100_000.0) is not None
+
+
+def test_suspect_is_confined_for_a_short_time_and_on_trial():
+    ledger = _ledger_of([_end(1, 'x', 'y')])
+    assert not ledger.is_confined('x', 10.0)
+    ledger.add_end(_end(2, 'x'), 10.0)
+    assert ledger.is_confined('x', 10.0)
+    assert not ledger.is_confined('y', 10.0)
+    assert not ledger.is_confined('x', 5000.0)
+    ledger.add_end(_end(3, 'x'), 10.0)
+    assert ledger.is_confined('x', 500_000.0)
+
+
 def test_new_version_gets_one_trial():
     ledger = _ledger_of([_end(number, 'x') for number in range(1, 4)])
     assert ledger.find_held('x', 'v2', 10.0) is None
@@ -166,10 +188,16 @@
 
 def test_old_ends_are_forgotten():
     ledger = _ledger_of([_end(number, 'x') for number in range(1, 4)])
+    ledger.add_answer('z', 1.0)
     ledger.add_end(_end(4, 'y', ended_ms=_HOUR_MS), _HOUR_MS)
+    ledger.expire(_HOUR_MS)
+    assert not ledger.answers
     assert [end.end_id for end in ledger.ends] == ['4']
     assert not ledger.is_suspected('x')
     assert not ledger.add_end(_end(5, 'x', ended_ms=1.0), _HOUR_MS)
+    ledger.expire(3 * _HOUR_MS)
+    assert ledger.is_empty
+    assert not ledger.is_confined('x', 3 * _HOUR_MS)
 
 
 # Guards against memory that grows with the ends and the requests.
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -1,5 +1,8 @@
 """Messages, codec, clock and links between chivelead processes."""
 
+from chivelead_protocol._internal import (
+    target_end_messages as target_end_messages,
+)
 from chivelead_protocol._internal.clock import HybridClock as HybridClock
 from chivelead_protocol._internal.clock import format_stamp as format_stamp
 from chivelead_protocol._internal.clock import loop_ms as loop_ms
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -173,6 +173,7 @@
         components.contacts,
         components.departures,
         components.plan_feed,
+        components.target_ends,
         components.links,
         components.target,
     ):
