--- a/packages/platform/tests/unit/test_decoding.py
+++ b/packages/platform/tests/unit/test_decoding.py
@@ -178,3 +178,23 @@
         announcement.sequence,
         announcement.slots,
     ) == (12, 4, 8)
+
+
+# Guards against the loss of a target whose announcement has an odd version: it
+# only says when a harmful request gets a trial.
+@pytest.mark.parametrize(
+    ('raw', 'version'),
+    [('v2', 'v2'), (7, ''), (None, ''), ('v' * 500, 'v' * 100)],
+)
+def test_announcement_with_an_odd_version_still_counts(raw, version):
+    announcement = parse_announcement(
+        'i-1',
+        json.dumps(
+            {
+                'address': '10.0.0.1:80',
+                'info': {'service': 'stock', 'slots': 8, 'version': raw},
+                'status': {'state': 'ready', 'seq': 4},
+            },
+        ).encode(),
+    )
+    assert announcement.version == version
