--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -274,7 +274,7 @@
         publisher=publisher,
         prober=prober,
         health_monitor=TargetHealthMonitor(
-            call_monitor, registration, publisher, prober, events
+            call_monitor, target, registration, publisher, prober, events
         ),
     )
 
--- a/packages/node/src/chivelead_node/_internal/proxy/target_health.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/target_health.py
@@ -12,6 +12,7 @@
 from chivelead_node._internal.proxy.probe import TargetProber
 from chivelead_node._internal.proxy.registration import TargetRegistration
 from chivelead_node._internal.proxy.target_state import TargetStatePublisher
+from chivelead_node._internal.targets import LocalTarget
 
 _CHECK_PERIOD_S = 0.25
 # The target is unresponsive if it has responded to no call for this time and
@@ -96,15 +97,17 @@
 
     Args:
         call_monitor: Calls at the target.
+        target: Connections to the target.
         registration: State of the target.
         publisher: Publishes the state to the fleet.
         prober: Sends health probes to the target.
         events: Event log.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         call_monitor: TargetCallMonitor,
+        target: LocalTarget,
         registration: TargetRegistration,
         publisher: TargetStatePublisher,
         prober: TargetProber,
@@ -112,6 +115,7 @@
     ) -> None:
         """Create a monitor of a target that counts as healthy."""
         self._call_monitor = call_monitor
+        self._target = target
         self._registration = registration
         self._publisher = publisher
         self._prober = prober
@@ -135,6 +139,8 @@
         self._registration.unresponsive = True
         self._publisher.publish()
         answered = await self._prober.wait_until_answered(target_id)
+        # The probe used a connection of its own.
+        self._target.close_idle_connections()
         self._call_monitor.reset()
         self._registration.unresponsive = False
         self._publisher.publish()
--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -174,6 +174,10 @@
     def close(self) -> None:
         """Close idle connections now, and busy ones when they are released."""
         self._is_closed = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close idle connections; later requests use new ones."""
         while self._idle:
             self._idle.pop().close()
 
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -151,6 +151,11 @@
         if self._pool is not None:
             self._pool.close()
 
+    def close_idle_connections(self) -> None:
+        """Close connections that may have gone silent."""
+        if self._pool is not None:
+            self._pool.close_idle()
+
     async def call(
         self,
         method: str,
--- a/packages/node/tests/unit/test_silent_target.py
+++ b/tests/functional/test_silent_target.py
@@ -7,6 +7,7 @@
 from chivelead_protocol import TargetState
 from chivelead_standins._internal.fault_proxy import FaultProxy
 from lib.fake_platform import HOST, FakeTarget, free_ports
+from lib.platform_fleet import announce_late, running_fleet, wait_until
 
 HEADERS = (('Host', 'shop.example'), ('X-Request-Id', 'mine'))
 TIMEOUT_S = 0.6
@@ -84,3 +85,34 @@
     with pytest.raises(TimeoutError):
         await slow
     assert list(pool._idle) == [heard]
+
+
+# Guards against requests that are lost on silent connections, one after the
+# other, while a target that counted as unresponsive answers its probes again.
+async def test_target_that_answers_again_gets_new_connections():
+    async with running_fleet('stock') as fleet:
+        target = fleet.targets[0]
+        proxy_port = free_ports(1)[0]
+        proxy = FaultProxy(proxy_port, target.port)
+        await proxy.start()
+        announcement = target.make_announcement()
+        announcement['address'] = f'{HOST}:{proxy_port}'
+        await announce_late(fleet, 0, announcement)
+        target.response_delay_s = 0.2
+        await asyncio.gather(
+            *(fleet.send_request(0, '/read/x') for _ in range(4))
+        )
+        target.response_delay_s = 0
+        proxy.stall_open_connections()
+        lost = [
+            asyncio.create_task(fleet.send_request(0, '/read/x'))
+            for _ in range(2)
+        ]
+        registration = fleet.components(0).registration
+        await wait_until(lambda: registration.unresponsive)
+        await wait_until(lambda: not registration.unresponsive)
+        for _ in range(3):
+            async with asyncio.timeout(0.5):
+                assert (await fleet.send_request(0, '/read/x'))[0] == 200
+        await asyncio.gather(*lost)
+        await proxy.close()
