--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -1,6 +1,7 @@
 """HTTP ingress for callers and for calls made by the target on this VM."""
 
 import asyncio
+import math
 import random
 from typing import cast
 
@@ -298,6 +299,8 @@
             remaining_ms = float(header_value)
         except ValueError:
             return route.timeout_ms
+        if math.isnan(remaining_ms):
+            return route.timeout_ms
         if remaining_ms <= 0:
             raise _unavailable('deadline')
         return min(remaining_ms, route.timeout_ms)
--- a/tests/functional/test_platform_unchanged.py
+++ b/tests/functional/test_platform_unchanged.py
@@ -387,3 +387,12 @@
     ):
         assert request.body == body
         assert request.find(b'content-length') == b'10240'
+
+
+# Guards against deadlines that are no numbers and get a 500.
+@pytest.mark.parametrize('deadline', [b'nan', b'soon', b'', b'inf'])
+async def test_deadline_that_is_no_time_counts_as_none(fleet, deadline):
+    raw = encode_raw_request(b'GET /book/x').replace(b'2000', deadline)
+    client = await connect(fleet)
+    assert (await client.exchange(raw)).status == 200
+    client.close()
