--- a/conftest.py
+++ b/conftest.py
@@ -6,6 +6,7 @@
 import pathlib
 
 import pytest
+from hypothesis import strategies
 
 _KNOWN_FAILURES_PATH = pathlib.Path(__file__).parent / 'KNOWN-RED.txt'
 
@@ -21,6 +22,15 @@
     }
 
 
+def pytest_sessionstart():
+    """Build the Unicode tables that hypothesis makes when it first draws text.
+
+    They take seconds on a busy machine, for which the health check of the first
+    test that draws text would blame its strategy.
+    """
+    strategies.text().validate()
+
+
 def pytest_collection_modifyitems(items):
     """Mark the known failures; if one of them passes, the run fails."""
     known_failures = _read_known_failures()
--- a/packages/node/tests/unit/test_target_connections.py
+++ b/packages/node/tests/unit/test_target_connections.py
@@ -126,6 +126,8 @@
     ):
         for _ in range(3):
             assert await fetch_body(target) == b'body'
+            await raw.has_responded.wait()
+            raw.has_responded.clear()
             await asyncio.sleep(0.1)
         assert raw.connections == 3
 
