--- a/packages/node/src/chivelead_node/_internal/calls.py
+++ b/packages/node/src/chivelead_node/_internal/calls.py
@@ -22,10 +22,13 @@
     Attributes:
         max_downstream_level: Highest shed level in the replies to these
             calls, including the levels of services that they called in turn.
+        is_withdrawn: Whether no more attempts are made, as the caller sends
+            nothing more.
     """
 
     remaining: int
     max_downstream_level: float = 0
+    is_withdrawn: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -141,7 +141,11 @@
         raise AssertionError('unreachable')
 
     async def withdraw(self, call: calls.Call) -> None:
-        """Refuse a call that still waits for a slot; others go on."""
+        """Refuse a call that waits for a slot, and make no more attempts.
+
+        An attempt that runs goes on.
+        """
+        call.allowance.is_withdrawn = True
         if call.attempt_ids:
             await self._cancel(call.attempted_vms[-1], call.attempt_ids[-1])
 
@@ -377,7 +381,7 @@
 
 
 def _is_safe_to_retry(call: calls.Call, reply: CallReply) -> bool:
-    if reply.reason in _FINAL_REFUSALS:
+    if call.allowance.is_withdrawn or reply.reason in _FINAL_REFUSALS:
         return False
     return call.idempotent or reply.outcome == Outcome.not_run
 
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -73,7 +73,10 @@
             self._components.call_runner.handle_input_end,
         )
         self._control_connections = ServerConnections(
-            self._components.events, HEADERS.request_id
+            self._components.events,
+            HEADERS.request_id,
+            # The work for these requests is short.
+            lambda _: None,
         )
         self._peer_server = PeerServer(
             settings.vm,
--- a/packages/node/src/chivelead_node/_internal/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -137,6 +137,7 @@
         self._connections = connections
         self._open_transport: LingeringTransport | None = None
         self._last_body: StreamReader | None = None
+        self._has_answered = False
         self._received = ReceivedBytes()
         self._chunked_body: StreamReader | None = None
         # Nothing more is read on this connection.
@@ -160,7 +161,10 @@
         transport = self._open_transport
         if transport is None or transport.is_lingering:
             return False
-        return self._waiter is None or bool(self._messages)
+        if self._messages:
+            return True
+        # After an early answer, the rest of the body is read and discarded.
+        return self._waiter is None and not self._has_answered
 
     @property
     def has_unsent_answer(self) -> bool:
@@ -237,7 +241,12 @@
         # send the body or the next request.
         if is_last or may_await_continue(request):
             resp.force_close()
-        return await super().finish_response(request, resp, start_time)
+        finished = await super().finish_response(request, resp, start_time)
+        self._has_answered = not self._messages
+        if self.input_ended and not self._messages:
+            # The input may have ended while the response was written.
+            self.close()
+        return finished
 
     def handle_error(
         self,
