--- /dev/null
+++ b/tests/functional/test_platform_request_soak.py
@@ -0,0 +1,31 @@
+"""Random clients, targets and disturbances on node processes.
+
+Two seeds run with the other tests.  For more, name a range of seeds:
+``CHIVELEAD_SOAK_SEEDS=100-149``.
+"""
+
+import os
+
+import pytest
+from lib.request_soak import RequestSoak
+from lib.request_soak_check import find_violations
+
+
+def soak_seeds():
+    """Return the seeds to run."""
+    first, _, last = os.environ.get('CHIVELEAD_SOAK_SEEDS', '1-2').partition(
+        '-'
+    )
+    return range(int(first), int(last or first) + 1)
+
+
+# Guards against requests and answers that change, run twice or are lost, in
+# any order of stops, kills, freezes, resets and uploads.
+@pytest.mark.parametrize('seed', soak_seeds())
+async def test_requests_are_answered_once_and_unchanged(seed):
+    soak = RequestSoak(seed)
+    await soak.run()
+    print(soak.summary())
+    violations = find_violations(soak.history)
+    if violations:
+        pytest.fail('\n'.join(violations), pytrace=False)
--- /dev/null
+++ b/tests/functional/test_request_soak_check.py
@@ -0,0 +1,277 @@
+"""Tests of the checks of the request soak, on small histories."""
+
+import dataclasses
+from types import MappingProxyType
+
+import pytest
+from lib.request_soak_check import (
+    Call,
+    Disturbance,
+    History,
+    KeyLife,
+    Run,
+    find_violations,
+)
+
+_CALL = Call(
+    'id-1',
+    0,
+    'POST',
+    '/book/x',
+    body_digest='body',
+    note=b'caf\xe9',
+    encoding='gzip',
+    sent_s=10.0,
+    whole_s=10.1,
+    ended_s=10.5,
+    end='answered',
+    status=200,
+    stamp='stamp',
+    answer_digest='answer',
+)
+_RUN = Run(
+    'id-1',
+    1,
+    'POST',
+    '/book/x',
+    body_digest='body',
+    note=b'caf\xe9',
+    encoding='gzip',
+    stamp='stamp',
+    answer_digest='answer',
+)
+# Ends of a call without a whole answer.
+_NO_ANSWER = MappingProxyType({'status': 0, 'stamp': '', 'answer_digest': ''})
+_CUT = MappingProxyType({**_NO_ANSWER, 'end': 'cut'})
+_REFUSED = MappingProxyType({**_NO_ANSWER, 'status': 503})
+
+
+def make_history(call_fields=None, run_fields=None, **fields):
+    """Return a history of one call and its run, with fields replaced."""
+    call = dataclasses.replace(_CALL, **(call_fields or {}))
+    run = dataclasses.replace(_RUN, **(run_fields or {}))
+    return History({call.request_id: call}, [run], **fields)
+
+
+def rules(history):
+    """Return the rules that a history violates."""
+    return [line.partition(':')[0] for line in find_violations(history)]
+
+
+# Guards against checks that report requests which were handled well.
+def test_unchanged_request_and_answer_pass():
+    assert not rules(make_history())
+
+
+# Guards against changed requests that are not noticed.
+@pytest.mark.parametrize(
+    'run_fields',
+    [
+        {'method': 'GET'},
+        {'path': '/book/y'},
+        {'body_digest': 'other'},
+        {'note': b'caf\xc3\xa9'},
+        {'encoding': ''},
+        {'organisation': 'guest'},
+        {'caller_service': 'orders'},
+        {'key_shown': True},
+    ],
+)
+def test_changed_request_is_unasked(run_fields):
+    assert rules(make_history(run_fields=run_fields)) == ['UNASKED']
+
+
+# Guards against requests of nobody that are not noticed.
+def test_request_that_no_client_sent_is_unasked():
+    history = make_history()
+    history.runs.append(dataclasses.replace(_RUN, request_id='x', stamp='s'))
+    assert rules(history) == ['UNASKED']
+
+
+# Guards against second runs that are not noticed.
+@pytest.mark.parametrize(('safe', 'found'), [(False, ['TWICE']), (True, [])])
+def test_second_run_counts_if_it_may_not_be_repeated(safe, found):
+    history = make_history({'safe': safe})
+    history.runs.append(dataclasses.replace(_RUN, stamp='second'))
+    assert rules(history) == found
+
+
+# Guards against refusals of requests that ran.
+@pytest.mark.parametrize(('safe', 'found'), [(False, ['REFUSED']), (True, [])])
+def test_refused_request_has_not_run(safe, found):
+    assert rules(make_history({**_REFUSED, 'safe': safe})) == found
+
+
+# Guards against changed answers that are not noticed.
+@pytest.mark.parametrize(
+    'call_fields',
+    [
+        {'status': 201},
+        {'stamp': ''},
+        {'answer_digest': 'other'},
+        {'answer_note': b'other'},
+    ],
+)
+def test_changed_answer_is_mixed(call_fields):
+    assert rules(make_history(call_fields)) == ['MIXED']
+
+
+# Guards against answers to nothing that are not noticed.
+def test_stray_bytes_are_mixed():
+    assert rules(make_history(stray_bytes=[b'HTTP/1.1 200'])) == ['MIXED']
+
+
+# Guards against refusals of proper requests that are not noticed.
+@pytest.mark.parametrize('status', [400, 401, 413, 500])
+def test_failure_of_the_node_itself_is_a_denial(status):
+    assert rules(make_history({**_NO_ANSWER, 'status': status})) == ['DENIED']
+
+
+# Guards against cut-off answers that are not noticed.
+@pytest.mark.parametrize(
+    'disturbances',
+    [
+        [],
+        [Disturbance('stop', 0, 9.0, 12.0)],
+        [Disturbance('store', None, 9.0, 12.0)],
+        [Disturbance('kill', 2, 9.0, 12.0)],
+        [Disturbance('kill', 0, 1.0, 6.0)],
+    ],
+)
+def test_answer_that_is_cut_off_is_lost(disturbances):
+    assert rules(make_history(_CUT, disturbances=disturbances)) == ['LOST']
+
+
+# Guards against cuts counted though the platform allows them.
+@pytest.mark.parametrize(
+    ('call_fields', 'run_fields', 'disturbances'),
+    [
+        ({}, {'broke_off': True}, []),
+        ({'whole_s': None}, {}, []),
+        ({'ended_s': 15.1}, {}, []),
+        ({}, {}, [Disturbance('kill', 0, 9.0, 9.1)]),
+        ({}, {}, [Disturbance('kill', 1, 10.2, 10.3)]),
+        ({'ended_s': 14.5}, {}, [Disturbance('stop', 0, 9.0, 14.5)]),
+    ],
+)
+def test_cut_is_excused(call_fields, run_fields, disturbances):
+    history = make_history(
+        {**_CUT, **call_fields}, run_fields, disturbances=disturbances
+    )
+    assert not rules(history)
+
+
+# Guards against answers of targets that callers never see.
+@pytest.mark.parametrize(
+    ('done_s', 'disturbances', 'found'),
+    [
+        (13.9, [], ['LOST']),
+        (14.1, [], []),
+        (None, [], []),
+        (13.9, [Disturbance('stop', 0, 9.0, 15.0)], ['LOST']),
+        (13.9, [Disturbance('target', 1, 9.0, 9.5)], []),
+    ],
+)
+def test_answer_of_a_target_is_not_replaced(done_s, disturbances, found):
+    fields = {**_NO_ANSWER, 'status': 504, 'ended_s': 15.0}
+    run_fields = {'done_s': done_s}
+    history = make_history(fields, run_fields, disturbances=disturbances)
+    assert rules(history) == found
+
+
+# Guards against half-closing callers whose requests must run once and are
+# given up; others count as gone.
+@pytest.mark.parametrize(('safe', 'found'), [(False, ['LOST']), (True, [])])
+def test_answer_to_a_half_closing_caller(safe, found):
+    fields = {**_NO_ANSWER, 'status': 504, 'closes_sending_half': True}
+    assert rules(make_history({**fields, 'safe': safe}, {'done_s': 10.4})) == (
+        found
+    )
+
+
+# Guards against requests that a stopping node reads and never passes on.
+@pytest.mark.parametrize(
+    ('ended_s', 'disturbances', 'earlier', 'found'),
+    [
+        (10.4, [Disturbance('stop', 0, 9.0, 12.0)], {}, ['LOST']),
+        (10.2, [Disturbance('stop', 0, 9.0, 12.0)], {}, []),
+        (10.4, [Disturbance('stop', 0, 9.0, 12.0)], _CUT, []),
+        (
+            10.4,
+            [Disturbance('stop', 0, 9.0, 12.0)],
+            {**_NO_ANSWER, 'status': 504},
+            [],
+        ),
+        (10.4, [], {}, []),
+    ],
+)
+def test_request_that_was_read_at_a_stop_is_answered(
+    ended_s, disturbances, earlier, found
+):
+    history = make_history(earlier, {'broke_off': True})
+    history.disturbances.extend(disturbances)
+    history.calls['id-2'] = dataclasses.replace(
+        _CALL, **_CUT, request_id='id-2', ended_s=ended_s, behind=('id-1',)
+    )
+    assert rules(history) == found
+
+
+# Guards against clients left waiting.
+@pytest.mark.parametrize(
+    ('disturbances', 'found'),
+    [([], ['CONFIG']), ([Disturbance('freeze', 1, 9.0, 11.0)], [])],
+)
+def test_missing_answer_is_late_unless_nodes_were_disturbed(
+    disturbances, found
+):
+    fields = {**_NO_ANSWER, 'end': 'late', 'ended_s': 16.5}
+    assert rules(make_history(fields, disturbances=disturbances)) == found
+
+
+# Guards against withdrawn keys that are accepted beyond the bound.
+@pytest.mark.parametrize(
+    ('withdrawn_s', 'disturbances', 'found'),
+    [
+        (7.4, [], ['CONFIG']),
+        (7.6, [], []),
+        (7.4, [Disturbance('store', None, 6.9, 6.9)], ['CONFIG']),
+        (7.4, [Disturbance('store', None, 7.1, 7.1)], []),
+        (7.4, [Disturbance('freeze', 0, 6.0, 7.1)], []),
+        (7.4, [Disturbance('freeze', 1, 6.0, 7.1)], ['CONFIG']),
+    ],
+)
+def test_withdrawn_key_is_accepted_no_longer(withdrawn_s, disturbances, found):
+    history = make_history(
+        {'key': 'guest-key'},
+        disturbances=disturbances,
+        keys={'guest-key': KeyLife(1.0, withdrawn_s)},
+    )
+    assert rules(history) == found
+
+
+# Guards against keys in force that are not accepted, or too soon expected.
+@pytest.mark.parametrize(
+    ('life', 'found'),
+    [
+        (KeyLife(7.4), ['DENIED']),
+        (KeyLife(7.6), []),
+        (KeyLife(1.0, 10.4), []),
+    ],
+)
+def test_key_in_force_is_accepted(life, found):
+    fields = {**_NO_ANSWER, 'key': 'guest-key', 'status': 401}
+    assert rules(make_history(fields, keys={'guest-key': life})) == found
+
+
+# Guards against memory over the limit that is not noticed.
+@pytest.mark.parametrize(
+    ('disturbances', 'found'),
+    [
+        ([], ['Fault']),
+        ([Disturbance('memory', 0, 10.0, 11.0)], ['Fault']),
+        ([Disturbance('freeze', 0, 9.5, 9.9)], []),
+    ],
+)
+def test_process_over_its_memory_is_a_fault(disturbances, found):
+    history = make_history(memory_ends=[(0, 10.0)], disturbances=disturbances)
+    assert rules(history) == found
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -165,25 +165,52 @@
 
     Args:
         services: Service of the target on each VM.
+        make_target: Makes a target of a service and the index of its VM.
+        failure_domains: Failure domains that the VMs are put in by turns.
+        make_store_proxy: Makes a proxy of a port, between nodes and store.
     """
 
-    def __init__(self, *services):
+    def __init__(
+        self,
+        *services,
+        make_target=None,
+        failure_domains=('z1',),
+        make_store_proxy=None,
+    ):
         """Create the store and the targets without starting them."""
         self.store = FakePlatformStore()
-        self.targets = [FakeTarget(service) for service in services]
+        self.store_proxy = make_store_proxy and make_store_proxy(
+            self.store.port
+        )
+        self.targets = [
+            make_target(service, index) if make_target else FakeTarget(service)
+            for index, service in enumerate(services)
+        ]
         self._folder = tempfile.TemporaryDirectory()
         self.nodes = [
-            NodeProcess(f'vm-{index}', target, self.store, self._folder.name)
+            NodeProcess(
+                f'vm-{index}',
+                target,
+                self.store_proxy or self.store,
+                self._folder.name,
+                failure_domains[index % len(failure_domains)],
+            )
             for index, target in enumerate(self.targets)
         ]
         self._session = None
         self._announcing = None
 
-    async def start(self, routes=ROUTES, organisations=ORGANISATIONS):
+    async def start(
+        self, routes=ROUTES, organisations=ORGANISATIONS, plan_text=''
+    ):
         """Start the fleet; wait until each node knows the others."""
         self._session = aiohttp.ClientSession()
         await self.store.start()
-        self.store.put('op/config', make_plan_text(5, routes, organisations))
+        if self.store_proxy is not None:
+            await self.store_proxy.start()
+        self.store.put(
+            'op/config', plan_text or make_plan_text(5, routes, organisations)
+        )
         for target in self.targets:
             await target.start()
         for node in self.nodes:
@@ -202,6 +229,8 @@
         for target in self.targets:
             await target.close()
         await self._session.close()
+        if self.store_proxy is not None:
+            await self.store_proxy.close()
         await self.store.close()
         self._folder.cleanup()
 
@@ -213,6 +242,12 @@
         await wait_until(lambda: node.log_lines('target-state'))
         await asyncio.sleep(_REPORTS_S)
 
+    async def wait_until_ready(self, node):
+        """Wait until a node accepts requests."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not await self._is_ready(node):
+                await asyncio.sleep(0.05)
+
     async def level(self, node, name):
         """Return a gauge of a node; zero if it cannot be read."""
         try:
@@ -234,6 +269,13 @@
         node = self.nodes[index]
         return await RawClient.connect(node.ip, node.callers_port, **options)
 
+    async def _is_ready(self, node):
+        url = f'http://{node.ip}:{node.probes_port}/api/ready'
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self._session.get(url) as response:
+                return response.status == 200
+        return False
+
     async def _get(self, host, port, path):
         async with self._session.get(f'http://{host}:{port}{path}') as response:
             return await response.text()
--- /dev/null
+++ b/tests/lib/request_soak.py
@@ -0,0 +1,360 @@
+"""A soak of the request path: node processes, and disturbances at random."""
+
+import asyncio
+import collections
+import contextlib
+import functools
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+
+from lib.fake_platform import make_plan_text
+from lib.loopback_proxy import LoopbackProxy, cancel_all
+from lib.node_process import ProcessFleet
+from lib.request_soak_check import (
+    STABLE_S,
+    Disturbance,
+    History,
+    KeyLife,
+)
+from lib.request_soak_clients import new_client
+from lib.request_soak_targets import RawTarget, happens
+
+_SOAK_S = 14.0
+_SETTLING_S = 3.0
+_CLOSING_S = 0.2
+_CLIENTS_PER_NODE = 6
+_MEMORY_LIMIT_KB = 300_000
+_MEMORY_PERIOD_S = 0.02
+_PROBE_PERIOD_S = 0.08
+_MAX_BODY_BYTES = 67_108_864
+_UPLOAD_SIZES = (2_000_000, 10_000_000, 40_000_000, 40_000_000)
+# Clients get no new work of a node that has not been ready twice.
+_UNREADY_S = 2.0
+_ROUTES = (
+    ('/read/', 'stock', 'safe', {'timeout_ms': 5000}),
+    ('/book/', 'orders', 'unsafe', {'timeout_ms': 5000}),
+    ('/put/', 'orders', 'upload', {'timeout_ms': 5000}),
+)
+# Keeps the logs of the nodes and the history of each seed.
+_LOG_FOLDER = 'CHIVELEAD_SOAK_LOGS'
+_FAMILIES = ('kill', 'freeze', 'harm_target', 'upload')
+
+
+class RequestSoak:
+    """Disturb a fleet of node processes at random, beside clients.
+
+    Args:
+        seed: Chooses the fleet, the disturbances and what clients do.
+    """
+
+    def __init__(self, seed):
+        """Create the fleet without starting it."""
+        self.history = History()
+        self._seed = seed
+        self._random = random.Random(seed)
+        node_count = self._random.choice((2, 2, 2, 3, 4))
+        self.families = self._random.sample(
+            _FAMILIES, self._random.randint(0, 2)
+        )
+        if happens(self._random, 50):
+            self.families.append('stop')
+        # The others stay in touch, so that bounds in time hold for them.
+        self._victims = self._random.sample(
+            range(node_count), self._random.randint(1, node_count)
+        )
+        self._domains = self._random.choice(
+            (('z1', 'z2'), ('z1', 'z2'), ('z1',))
+        )
+        services = ('stock', 'orders', 'stock', 'orders')[:node_count]
+        self._fleet = ProcessFleet(
+            *services,
+            make_target=functools.partial(RawTarget, soak=self),
+            failure_domains=self._domains,
+            make_store_proxy=LoopbackProxy,
+        )
+        self._started_s = asyncio.get_running_loop().time()
+        self._busy = set()
+        self._closed = {}
+        self._version = 5
+        self._guest_key = ''
+        self._peak_kb = 0
+        self._store_harmed_s = -STABLE_S
+        self._harms_store = happens(self._random, 50)
+
+    @property
+    def nodes(self):
+        """Return the node processes."""
+        return self._fleet.nodes
+
+    def now_s(self):
+        """Return the time since the start of the soak."""
+        return asyncio.get_running_loop().time() - self._started_s
+
+    def is_open(self, node):
+        """Return whether clients send new requests to a node."""
+        closing_s = self._closed.get(node)
+        return closing_s is None or self.now_s() < closing_s
+
+    async def run(self):
+        """Run the soak to its end."""
+        try:
+            await self._fleet.start(plan_text=self._make_plan_text())
+            self.history.disturbances.append(
+                Disturbance('start', None, 0, self.now_s())
+            )
+            await self._run_tasks()
+        finally:
+            await self._close()
+
+    def summary(self):
+        """Return a line on what was done and seen."""
+        ends = collections.Counter(
+            f'{call.end} {call.status}' for call in self.history.calls.values()
+        )
+        kinds = collections.Counter(
+            disturbance.kind for disturbance in self.history.disturbances
+        )
+        return (
+            f'seed {self._seed}: {len(self.nodes)} nodes in {self._domains}, '
+            f'{self.families}, '
+            f'victims {self._victims}, store {self._harms_store}, '
+            f'disturbances {dict(kinds)}, ends {dict(ends)}, '
+            f'most memory {self._peak_kb // 1000} MB'
+        )
+
+    async def _close(self):
+        self._keep_logs()
+        await self._fleet.close()
+        # Transports end after their connections were closed.
+        await asyncio.sleep(_CLOSING_S)
+
+    def _keep_logs(self):
+        """Copy the logs and the history if a folder for them is named."""
+        if not os.environ.get(_LOG_FOLDER):
+            return
+        folder = pathlib.Path(os.environ[_LOG_FOLDER]) / f'seed-{self._seed}'
+        folder.mkdir(parents=True, exist_ok=True)
+        for node in self.nodes:
+            shutil.copy(node.log_path, folder)
+        lines = [
+            repr(record)
+            for records in (
+                self.history.disturbances,
+                self.history.keys.items(),
+                self.history.calls.values(),
+                self.history.runs,
+            )
+            for record in records
+        ]
+        (folder / 'history.txt').write_text('\n'.join(lines))
+
+    async def _run_tasks(self):
+        watching = [
+            asyncio.create_task(self._watch_memory(index))
+            for index, _ in enumerate(self.nodes)
+        ]
+        clients = [
+            asyncio.create_task(client.run_forever())
+            for index, _ in enumerate(self.nodes)
+            for client in (
+                new_client(self, index, f'{self._seed}-{index}-{number}')
+                for number in range(_CLIENTS_PER_NODE)
+            )
+        ]
+        clients.append(asyncio.create_task(self._probe_forever()))
+        disturbing = [
+            asyncio.create_task(self._repeat(name)) for name in self.families
+        ]
+        disturbing.append(asyncio.create_task(self._edit_plans()))
+        tasks = (*watching, *clients, *disturbing)
+        try:
+            await asyncio.sleep(_SOAK_S)
+            await asyncio.wait(disturbing)
+            await asyncio.sleep(_SETTLING_S)
+            for task in tasks:
+                if task.done():
+                    task.result()
+        finally:
+            await cancel_all(tasks)
+
+    async def _repeat(self, family):
+        """Disturb at random moments until the time is over."""
+        while self._is_on():
+            await asyncio.sleep(self._random.random() * 3)
+            free = set(self._victims) - self._busy
+            if free:
+                node = self._random.choice(sorted(free))
+                await getattr(self, f'_{family}')(node)
+
+    def _is_on(self):
+        return self.now_s() < self.history.disturbances[0].end_s + _SOAK_S
+
+    @contextlib.asynccontextmanager
+    async def _disturbing(self, kind, node):
+        disturbance = Disturbance(kind, node, self.now_s())
+        self.history.disturbances.append(disturbance)
+        self._busy.add(node)
+        try:
+            yield
+        finally:
+            disturbance.end_s = self.now_s()
+            self._busy.discard(node)
+
+    async def _stop(self, node):
+        """Stop a process as planned work does, and start it again."""
+        async with self._disturbing('stop', node):
+            self._closed[node] = self.now_s() + _UNREADY_S
+            await self.nodes[node].terminate()
+        await self._start_again(node)
+
+    async def _kill(self, node):
+        async with self._disturbing('kill', node):
+            self.nodes[node].send_signal(signal.SIGKILL)
+            await self.nodes[node].wait()
+        await self._start_again(node)
+
+    async def _freeze(self, node):
+        async with self._disturbing('freeze', node):
+            self.nodes[node].send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._random.random() * 3)
+            self.nodes[node].send_signal(signal.SIGCONT)
+
+    async def _harm_target(self, node):
+        proxy = self.nodes[node].target.proxy
+        async with self._disturbing('target', node):
+            if happens(self._random, 50):
+                proxy.reset()
+            else:
+                proxy.silence(self._random, 0.7)
+            await asyncio.sleep(0.5)
+
+    async def _upload(self, node):
+        """Send some large uploads at once."""
+        sending = []
+        for _ in range(self._random.randint(2, 5)):
+            client = new_client(self, node, self._random.random())
+            size = self._random.choice(_UPLOAD_SIZES)
+            sending.append(client.upload(size, happens(self._random, 50)))
+        await asyncio.gather(*sending)
+
+    async def _harm_store(self):
+        """Harm the connections to the store, which is never down."""
+        if self.now_s() < self._store_harmed_s + STABLE_S + 1:
+            return
+        self._store_harmed_s = self.now_s()
+        how = self._random.choice(('silent',) * 4 + ('reset', 'slow'))
+        if how == 'slow':
+            await self._slow_store_down()
+            return
+        self.history.disturbances.append(
+            Disturbance(
+                'store', None, self._store_harmed_s, self._store_harmed_s
+            )
+        )
+        if how == 'reset':
+            self._fleet.store_proxy.reset()
+            return
+        self._fleet.store_proxy.silence(
+            self._random,
+            self._random.choice((0.5, 0.8, 1, 1)),
+            self._random.choice(((0, 1), (0,), (1,))),
+        )
+
+    async def _slow_store_down(self):
+        proxy = self._fleet.store_proxy
+        async with self._disturbing('store', None):
+            proxy.delay_s = self._random.random() * 0.2
+            proxy.rate_bytes_per_s = 200_000
+            await asyncio.sleep(self._random.random() * 2)
+            proxy.delay_s = 0.0
+            proxy.rate_bytes_per_s = 0
+
+    async def _start_again(self, node):
+        async with self._disturbing('start', node):
+            await self.nodes[node].start(first_start=False)
+            await self._fleet.wait_until_ready(self.nodes[node])
+        self._closed.pop(node, None)
+
+    async def _watch_memory(self, node):
+        """End a process that exceeds the memory limit."""
+        while True:
+            await asyncio.sleep(_MEMORY_PERIOD_S)
+            process = self.nodes[node]
+            used_kb = _anonymous_kb(process.pid) if process.is_running() else 0
+            self._peak_kb = max(self._peak_kb, used_kb)
+            if used_kb > _MEMORY_LIMIT_KB:
+                self.history.memory_ends.append((node, self.now_s()))
+                await self._end_over_memory(node)
+
+    async def _end_over_memory(self, node):
+        # A process that is being stopped or started is started by others.
+        is_free = node not in self._busy
+        async with self._disturbing('memory', node):
+            self.nodes[node].send_signal(signal.SIGKILL)
+            await self.nodes[node].wait()
+        if is_free:
+            await self._start_again(node)
+
+    async def _edit_plans(self):
+        """Add keys, withdraw them, and edit other parts between."""
+        number = 0
+        while self._is_on():
+            number += 1
+            guest_key = f'guest-key-{number}'
+            await self._write_plan(guest_key)
+            self.history.keys[guest_key] = KeyLife(self.now_s())
+            self._guest_key = guest_key
+            await asyncio.sleep(1 + self._random.random() * 4)
+            if happens(self._random, 50):
+                await self._write_plan(guest_key)
+            await self._write_plan('another-key')
+            life = self.history.keys[guest_key]
+            life.withdrawn_s = self.now_s()
+            await asyncio.sleep(3.2 + self._random.random())
+
+    async def _write_plan(self, guest_key):
+        """Write a plan; at times the store is harmed shortly before."""
+        if self._harms_store and happens(self._random, 80):
+            await self._harm_store()
+        await asyncio.sleep(self._random.random())
+        self._version += self._random.randint(1, 9)
+        self._fleet.store.put('op/config', self._make_plan_text(guest_key))
+
+    def _make_plan_text(self, guest_key='another-key'):
+        routes = (*_ROUTES, (f'/new-{self._version}/', 'stock', 'safe', {}))
+        organisations = (('mill', 'mill-key', {}), ('guest', guest_key, {}))
+        plan = json.loads(make_plan_text(self._version, routes, organisations))
+        for resource in plan['resources']:
+            if resource['type_url'] == 'limits':
+                resource['spec']['max_body_bytes'] = _MAX_BODY_BYTES
+        return json.dumps(plan)
+
+    async def _probe_forever(self):
+        """Ask each node again and again with the key of a guest."""
+        clients = [
+            new_client(self, index, self._seed)
+            for index, _ in enumerate(self.nodes)
+        ]
+        async with asyncio.TaskGroup() as group:
+            for index, client in enumerate(clients):
+                group.create_task(self._probe_node(index, client))
+
+    async def _probe_node(self, node, client):
+        while True:
+            if self._guest_key and self.is_open(node):
+                await client.probe(self._guest_key)
+            await asyncio.sleep(_PROBE_PERIOD_S)
+
+
+def _anonymous_kb(pid):
+    with contextlib.suppress(OSError, StopIteration):
+        status = pathlib.Path(f'/proc/{pid}/status').read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith('RssAnon')
+        )
+        return int(line.split()[1])
+    return 0
--- /dev/null
+++ b/tests/lib/request_soak_check.py
@@ -0,0 +1,379 @@
+"""Checks of what clients and targets saw in a soak of the request path.
+
+The checks know nothing of nodes: a history holds what clients sent and got,
+what targets ran, and who was disturbed when.
+"""
+
+import collections
+import dataclasses
+
+# Bounds of the platform.
+CONFIG_S = 2.5
+STABLE_S = 3.0
+LOSS_SLACK_S = 0.2
+# Requests that are in progress in the last sixth of the grace period may end.
+STOP_S = 5.0
+# An answer of a target reaches its caller within this time.
+_REPLY_S = 1.0
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+_DENIALS = frozenset((400, 401, 403, 404, 405, 411, 413, 414, 415, 431, 500))
+
+_checks = []
+
+
+@dataclasses.dataclass
+class Call:
+    """A request as its client saw it.
+
+    ``end`` is how it ended: ``answered``, ``cut`` (the connection ended before
+    the whole answer), ``late`` (no answer long after the deadline) or ``left``
+    (the client closed the connection).  ``habits`` tell how the client behaved.
+    """
+
+    request_id: str
+    entry: int
+    method: str
+    path: str
+    body_digest: str = ''
+    note: bytes = b''
+    encoding: str = ''
+    organisation: str = 'mill'
+    key: str = 'mill-key'
+    caller_service: str = 'stock'
+    safe: bool = False
+    habits: str = ''
+    closes_sending_half: bool = False
+    # Requests that the client sent before it without waiting for answers.
+    behind: tuple[str, ...] = ()
+    deadline_s: float = 5.0
+    sent_s: float = 0.0
+    whole_s: float | None = None
+    ended_s: float = 0.0
+    end: str = 'open'
+    status: int = 0
+    stamp: str = ''
+    answer_digest: str = ''
+    answer_note: bytes = b''
+
+
+@dataclasses.dataclass
+class Run:
+    """A request as a target saw it; an empty digest is a body not yet read."""
+
+    request_id: str
+    target: int
+    method: str
+    path: str
+    body_digest: str = ''
+    note: bytes = b''
+    encoding: str = ''
+    organisation: str = 'mill'
+    caller_service: str = 'stock'
+    key_shown: bool = False
+    stamp: str = ''
+    status: int = 200
+    answer_digest: str = ''
+    answer_note: bytes = b''
+    broke_off: bool = False
+    done_s: float | None = None
+
+
+@dataclasses.dataclass
+class Disturbance:
+    """What was done to a node, or to all nodes if ``node`` is None."""
+
+    kind: str
+    node: int | None
+    start_s: float
+    end_s: float = float('inf')
+
+
+@dataclasses.dataclass
+class KeyLife:
+    """When the operator added and withdrew a key."""
+
+    added_s: float
+    withdrawn_s: float = float('inf')
+
+
+@dataclasses.dataclass
+class History:
+    """What was seen in a soak."""
+
+    calls: dict[str, Call] = dataclasses.field(default_factory=dict)
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    keys: dict[str, KeyLife] = dataclasses.field(default_factory=dict)
+    # Node and time of each process that ended over the memory limit.
+    memory_ends: list[tuple[int, float]] = dataclasses.field(
+        default_factory=list
+    )
+    # Bytes that came on a connection without a request.
+    stray_bytes: list[bytes] = dataclasses.field(default_factory=list)
+
+    def runs_of(self, request_id):
+        """Return the runs of a request."""
+        return [run for run in self.runs if run.request_id == request_id]
+
+    def is_disturbed(self, node, start_s, end_s, harmless=()):
+        """Return whether a node was disturbed in a span of time."""
+        return any(
+            disturbance.kind not in harmless
+            and disturbance.node in {None, node}
+            and disturbance.start_s <= end_s
+            and disturbance.end_s >= start_s
+            for disturbance in self.disturbances
+        )
+
+    def is_stopped(self, node, start_s, end_s):
+        """Return whether a planned stop of a node overlaps a span of time."""
+        return any(
+            disturbance.kind == 'stop'
+            and disturbance.node == node
+            and disturbance.start_s <= end_s
+            and disturbance.end_s >= start_s
+            for disturbance in self.disturbances
+        )
+
+    def is_in_touch(self, node, now_s):
+        """Return whether a node was in touch at a time."""
+        return not self.is_disturbed(node, now_s - STABLE_S, now_s)
+
+
+def find_violations(history):
+    """Return a line for each violation of a rule."""
+    return [line for check in _checks for line in check(history)]
+
+
+def _check(function):
+    _checks.append(function)
+    return function
+
+
+@_check
+def _unasked(history):
+    for run in history.runs:
+        call = history.calls.get(run.request_id)
+        if call is None:
+            yield f'UNASKED: {run.request_id} was sent by no client'
+            continue
+        for field in (
+            'method',
+            'path',
+            'note',
+            'encoding',
+            'organisation',
+            'caller_service',
+        ):
+            if getattr(run, field) != getattr(call, field):
+                yield (
+                    f'UNASKED: {field} of {run.request_id} is '
+                    f'{getattr(run, field)!r}, was {getattr(call, field)!r}'
+                )
+        if run.body_digest not in {'', call.body_digest}:
+            yield (
+                f'UNASKED: body of {run.request_id} changed '
+                f'(encoding {call.encoding!r})'
+            )
+        if run.key_shown:
+            yield f'UNASKED: the key of {run.request_id} was passed on'
+
+
+@_check
+def _twice(history):
+    counts = collections.Counter(run.request_id for run in history.runs)
+    for request_id, count in counts.items():
+        call = history.calls.get(request_id)
+        if count > 1 and call is not None and not call.safe:
+            yield f'TWICE: {request_id} ran {count} times'
+
+
+@_check
+def _refused(history):
+    ran = {run.request_id for run in history.runs}
+    for call in history.calls.values():
+        if (
+            call.request_id in ran
+            and not call.safe
+            and not call.stamp
+            and call.status in _NOT_RUN_STATUSES
+        ):
+            yield f'REFUSED: {call.request_id} got {call.status} and ran'
+
+
+@_check
+def _mixed(history):
+    runs = {run.stamp: run for run in history.runs}
+    for call in history.calls.values():
+        if call.end != 'answered':
+            continue
+        run = runs.get(call.stamp)
+        if run is None:
+            if call.stamp or call.status < 300:
+                yield f'MIXED: {call.request_id} got {call.status} of no target'
+        elif (
+            run.request_id,
+            run.status,
+            run.answer_digest,
+            run.answer_note,
+        ) != (
+            call.request_id,
+            call.status,
+            call.answer_digest,
+            call.answer_note,
+        ):
+            yield (
+                f'MIXED: the answer to {call.request_id} changed: '
+                f'{call.status} {call.answer_note!r}, was '
+                f'{run.status} {run.answer_note!r}'
+            )
+    for raw in history.stray_bytes:
+        yield f'MIXED: {raw[:80]!r} came without a request'
+
+
+@_check
+def _denied(history):
+    for call in history.calls.values():
+        life = history.keys.get(call.key)
+        is_held = life is None or (
+            life.added_s + CONFIG_S < call.sent_s
+            and call.ended_s < life.withdrawn_s
+            and history.is_in_touch(call.entry, call.sent_s)
+        )
+        if call.status in _DENIALS and not call.stamp and is_held:
+            yield (
+                f'DENIED: {call.request_id} {call.method} {call.path} got '
+                f'{call.status} (encoding {call.encoding!r}, '
+                f'note {call.note!r}{_age(call, life)})'
+            )
+
+
+def _age(call, life):
+    if life is None:
+        return ''
+    return f', its key was added {call.sent_s - life.added_s:.2f} s before'
+
+
+@_check
+def _lost(history):
+    for call in history.calls.values():
+        if call.end != 'cut' or call.whole_s is None:
+            continue
+        runs = history.runs_of(call.request_id)
+        if not runs and not _was_read_at_stop(history, call):
+            continue
+        if _is_cut_excused(history, call, runs):
+            continue
+        yield (
+            f'LOST: {call.request_id} {call.method} {call.path} at node '
+            f'{call.entry} was cut off {call.ended_s - call.sent_s:.2f} s '
+            f'after it was sent at {call.sent_s:.2f} s; runs: {len(runs)}; '
+            f'client: {call.habits}'
+        )
+
+
+def _was_read_at_stop(history, call):
+    """Return whether a node that stops read a call and passed it on nowhere."""
+    if call.ended_s - call.whole_s <= LOSS_SLACK_S:
+        return False
+    # A connection ends after a request that could not be read or answered.
+    for request_id in call.behind:
+        earlier = history.calls[request_id]
+        if earlier.end == 'cut' or not earlier.stamp:
+            return False
+    return history.is_stopped(call.entry, call.whole_s, call.ended_s)
+
+
+def _is_cut_excused(history, call, runs):
+    if call.ended_s >= call.sent_s + call.deadline_s:
+        return True
+    if _is_stop_over(history, call):
+        return True
+    planned = ('stop', 'start', 'store')
+    if history.is_disturbed(
+        call.entry, call.sent_s - STABLE_S, call.ended_s, planned
+    ):
+        return True
+    # The rest of an answer is lost with its target or the node beside that.
+    return any(
+        run.broke_off
+        or history.is_disturbed(run.target, call.sent_s, call.ended_s, planned)
+        for run in runs
+    )
+
+
+def _is_stop_over(history, call):
+    """Return whether a call ended at the end of a stop of its entry."""
+    return any(
+        disturbance.start_s + STOP_S < call.ended_s <= disturbance.end_s + 1
+        for disturbance in history.disturbances
+        if disturbance.kind == 'stop' and disturbance.node == call.entry
+    )
+
+
+@_check
+def _replaced(history):
+    """Find answers of targets in whose place callers got another one."""
+    planned = ('stop', 'start', 'store')
+    for run in history.runs:
+        call = history.calls.get(run.request_id)
+        if call is None or run.done_s is None or call.end != 'answered':
+            continue
+        is_in_time = run.done_s < call.sent_s + call.deadline_s - _REPLY_S
+        # A node can't tell such a caller from one that has gone, for whom work
+        # on a request that can be repeated has to stop soon.
+        seems_gone = call.safe and call.closes_sending_half
+        if call.stamp or seems_gone or not is_in_time:
+            continue
+        if not any(
+            history.is_disturbed(
+                node, call.sent_s - STABLE_S, call.ended_s, planned
+            )
+            for node in (call.entry, run.target)
+        ):
+            yield (
+                f'LOST: {call.request_id} {call.method} {call.path} got '
+                f'{call.status} after {call.ended_s - call.sent_s:.2f} s in '
+                f'place of the answer of its target ({run.answer_note!r})'
+            )
+
+
+@_check
+def _late(history):
+    for call in history.calls.values():
+        if call.end == 'late' and not any(
+            disturbance.start_s <= call.ended_s
+            and disturbance.end_s >= call.sent_s - STABLE_S
+            for disturbance in history.disturbances
+            if disturbance.kind != 'store'
+        ):
+            yield (
+                f'CONFIG: {call.request_id} {call.method} {call.path} has no '
+                f'answer {call.ended_s - call.sent_s:.2f} s after it was sent '
+                f'(note {call.note!r}; client: {call.habits})'
+            )
+
+
+@_check
+def _withdrawn(history):
+    ran = {run.request_id for run in history.runs}
+    for call in history.calls.values():
+        life = history.keys.get(call.key)
+        if (
+            life is not None
+            and call.request_id in ran
+            and call.sent_s > life.withdrawn_s + CONFIG_S
+            and history.is_in_touch(call.entry, call.sent_s)
+        ):
+            yield (
+                f'CONFIG: {call.key} was accepted at node {call.entry} '
+                f'{call.sent_s - life.withdrawn_s:.2f} s after it was withdrawn'
+            )
+
+
+@_check
+def _memory(history):
+    for node, ended_s in history.memory_ends:
+        harmless = ('store', 'memory')
+        if not history.is_disturbed(node, ended_s - 1, ended_s, harmless):
+            yield f'Fault: node {node} ended over its memory at {ended_s:.2f} s'
