--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -49,6 +49,9 @@
 from chivelead_protocol._internal.exceptions import (
     LinkNotOpenError as LinkNotOpenError,
 )
+from chivelead_protocol._internal.exceptions import (
+    NoRoomError as NoRoomError,
+)
 from chivelead_protocol._internal.exceptions import (
     ProtocolError as ProtocolError,
 )
@@ -121,6 +124,9 @@
 from chivelead_protocol._internal.guard_messages import (
     GuardHandover as GuardHandover,
 )
+from chivelead_protocol._internal.large_frames import (
+    LARGE_FRAME_BYTES as LARGE_FRAME_BYTES,
+)
 from chivelead_protocol._internal.link import PeerLink as PeerLink
 from chivelead_protocol._internal.link_server import PeerServer as PeerServer
 from chivelead_protocol._internal.membership_messages import (
--- a/packages/protocol/src/chivelead_protocol/_internal/channel.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import cast
 
 from websockets.client import ClientProtocol
@@ -23,6 +23,12 @@
     LinkLostError,
     LinkNotOpenError,
 )
+from chivelead_protocol._internal.frame_rooms import FrameRoom
+from chivelead_protocol._internal.frame_splitter import (
+    Admit,
+    FrameSplitter,
+    encode_pieces,
+)
 
 # Room for a request body of the default limit, 64 MiB, and its headers.
 MAX_FRAME_BYTES = 75_497_472
@@ -31,7 +37,8 @@
 # with requests in flight takes the link for dead.
 _PROGRESS_PERIOD_MS = 250
 
-FrameHandler = Callable[[bytes], None]
+FrameHandler = Callable[[bytes], object]
+LargeFrameHandler = Callable[[bytearray, FrameRoom], None]
 
 
 class Channel(asyncio.Protocol):
@@ -41,7 +48,11 @@
         last_received_ms: Time at which data last arrived, by ``now_ms``.
         sent_bytes: Total size of what was sent, delivered or not.
         longest_silence_ms: Longest time between data that arrived.
-        on_frame: Called with the payload of each binary frame.
+        on_frame: Called with the payload of each binary frame that is not
+            large.
+        on_large_frame: Called with the payload and the memory of a large frame.
+        on_progress: Called when a part of a large frame has arrived.
+        admit: Takes memory for a large frame; by default, all are dropped.
         on_close: Called once when the connection has closed.
     """
 
@@ -51,6 +62,9 @@
         self.sent_bytes = 0
         self.longest_silence_ms = 0.0
         self.on_frame: FrameHandler = _ignore_frame
+        self.on_large_frame: LargeFrameHandler = _drop_large_frame
+        self.on_progress: Callable[[], None] = _ignore_close
+        self.admit: Admit = _refuse
         self.on_close: Callable[[], None] = _ignore_close
         self._protocol = protocol
         self._last_sent_ms = self.last_received_ms
@@ -59,6 +73,13 @@
             asyncio.get_running_loop().create_future()
         )
         self._writable: asyncio.Future[None] | None = None
+        self._splitter = FrameSplitter(
+            MAX_FRAME_BYTES,
+            self._feed_protocol,
+            lambda prefix, size_bytes: self.admit(prefix, size_bytes),
+            lambda raw, room: self.on_large_frame(raw, room),
+        )
+        self._large_frame_lock = asyncio.Lock()
 
     @property
     def peer_address(self) -> str:
@@ -82,14 +103,18 @@
             self._flush()
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
-        """Feed received bytes to the websocket protocol."""
+        """Handle received bytes; those of the handshake hold no frames."""
         received_ms = now_ms()
         self.longest_silence_ms = max(
             self.longest_silence_ms, received_ms - self.last_received_ms
         )
         self.last_received_ms = received_ms
-        self._protocol.receive_data(data)
-        if not self._handle_events():
+        if self._protocol.state is not State.OPEN:
+            self._feed_protocol(data)
+            return
+        self._splitter.feed(data)
+        if self._splitter.receives_large_frame:
+            self.on_progress()
             self._confirm_progress()
 
     def eof_received(self) -> None:
@@ -100,6 +125,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail a pending handshake and call ``on_close``."""
         self._transport = None
+        self._splitter.close()
         self.resume_writing()
         if not self._opened.done():
             self._opened.set_exception(
@@ -136,11 +162,7 @@
                 connection, which carries the calls of others too.
             LinkLostError: The connection is closed.
         """
-        if len(raw) > MAX_FRAME_BYTES:
-            raise EncodingError(
-                'send a frame',
-                f'{len(raw)} bytes are more than {MAX_FRAME_BYTES}',
-            )
+        _require_size(len(raw))
         if self._transport is None:
             raise LinkLostError('send a frame', 'the link is closed')
         try:
@@ -149,6 +171,31 @@
             raise LinkLostError('send a frame', 'the link is closed') from error
         self._flush()
 
+    async def send_large(self, parts: Sequence[bytes]) -> None:
+        """Send one binary frame in pieces, as fast as the peer reads them.
+
+        Other frames wait until it is complete.  If it cannot be completed, the
+        connection is aborted.
+
+        Raises:
+            EncodingError: The frame is too large; nothing was sent.
+            LinkLostError: The connection is closed; the peer ignores the part
+                of the frame that it has.
+        """
+        _require_size(sum(map(len, parts)))
+        masked = isinstance(self._protocol, ClientProtocol)
+        async with self._large_frame_lock:
+            try:
+                for piece in encode_pieces(parts, masked=masked):
+                    self._write_piece(piece)
+                    await self.drain()
+                    # The peer has read, so the connection works.
+                    self.last_received_ms = now_ms()
+            except BaseException:
+                self.abort()
+                raise
+        self._flush()
+
     async def drain(self) -> None:
         """Wait until the transport accepts more data (flow control)."""
         writable = self._writable
@@ -170,6 +217,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _write_piece(self, piece: bytes | memoryview) -> None:
+        if self._transport is None or self._protocol.state is not State.OPEN:
+            raise LinkLostError('send a frame', 'the link is closed')
+        self.sent_bytes += len(piece)
+        self._transport.write(piece)
+
+    def _feed_protocol(self, received: bytes) -> None:
+        self._protocol.receive_data(received)
+        if not self._handle_events():
+            self._confirm_progress()
+
     def _handle_events(self) -> bool:
         """Handle what has arrived; return whether anything was complete."""
         events = self._protocol.events_received()
@@ -219,6 +277,9 @@
             self._opened.exception()
 
     def _flush(self) -> None:
+        # The protocol keeps its data while a large frame is being sent.
+        if self._large_frame_lock.locked():
+            return
         transport = self._transport
         for chunk in self._protocol.data_to_send():
             if transport is None:
@@ -250,5 +311,22 @@
     """Ignore frames that arrive before a handler is set."""
 
 
+def _require_size(frame_bytes: int) -> None:
+    if frame_bytes > MAX_FRAME_BYTES:
+        raise EncodingError(
+            'send a frame',
+            f'{frame_bytes} bytes are more than {MAX_FRAME_BYTES}',
+        )
+
+
+def _drop_large_frame(raw: bytearray, room: FrameRoom) -> None:
+    """Drop large frames that arrive before a handler is set."""
+    room.close()
+
+
+def _refuse(prefix: bytes, size_bytes: int) -> FrameRoom | None:
+    """Refuse large frames that arrive before a handler is set."""
+
+
 def _ignore_close() -> None:
     """Ignore the end of a connection before a handler is set."""
--- a/packages/protocol/src/chivelead_protocol/_internal/codec.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/codec.py
@@ -20,7 +20,7 @@
 
 _Message = TypeVar('_Message', bound=type)
 _Converter = Callable[[Any], Any]
-_HEADER_LENGTH = 3
+HEADER_LENGTH = 3
 _StringPairs = tuple[tuple[str, str], ...]
 _SCALAR_TYPES = frozenset((str, int, bytes, bool))
 
@@ -94,45 +94,76 @@
         EncodingError: A field holds a value that frames cannot hold.
     """
     try:
-        return _encode_elements(sequence, stamp, body)
+        return encode_element(make_elements(sequence, stamp, body))
     except Exception as error:
         raise EncodingError(
             f'encode {type(body).__name__}', str(error)
         ) from error
 
 
+def make_elements(sequence: int, stamp: int, body: Any) -> list[Any]:
+    """Return the elements of the frame of one message."""
+    layout = _layouts_by_type[type(body)]
+    return [sequence, stamp, layout.code, *_encode_fields(layout, body)]
+
+
+def encode_element(element: Any) -> bytes:
+    """Return one element encoded as CBOR.
+
+    Text that is not valid UTF-8 is encoded as bytes.
+    """
+    try:
+        return cbor2.dumps(element)
+    except UnicodeEncodeError:
+        return cbor2.dumps(_replace_invalid_text(element))
+
+
+def find_code(message_type: type) -> int:
+    """Return the code of a message type."""
+    return _layouts_by_type[message_type].code
+
+
 def decode_frame(raw: bytes) -> Frame:
     """Return the frame in ``raw``.
 
     Raises:
         ProtocolError: The bytes are not one well-formed frame.
     """
+    return decode_elements(load_elements(raw))
+
+
+def load_elements(raw: bytes) -> list[Any]:
+    """Return the elements of the frame in ``raw``.
+
+    Raises:
+        ProtocolError: The bytes are not one array with a header.
+    """
     try:
         elements = cbor2.loads(raw)
     except Exception as error:
         raise ProtocolError('decode frame', f'not CBOR: {error}') from error
-    if not isinstance(elements, list) or len(elements) < _HEADER_LENGTH:
+    if not isinstance(elements, list) or len(elements) < HEADER_LENGTH:
         raise ProtocolError('decode frame', 'not an array with a header')
-    sequence, stamp, code = elements[:_HEADER_LENGTH]
-    if not all(map(_is_integer, elements[:_HEADER_LENGTH])):
+    return elements
+
+
+def decode_elements(elements: list[Any]) -> Frame:
+    """Return the frame with the given elements.
+
+    Raises:
+        ProtocolError: The elements are not those of a message.
+    """
+    sequence, stamp, code = elements[:HEADER_LENGTH]
+    if not all(map(_is_integer, elements[:HEADER_LENGTH])):
         raise ProtocolError('decode frame', 'the header is not three integers')
     layout = _layouts_by_code.get(code)
     if layout is None:
         raise ProtocolError('decode frame', f'unknown message code {code}')
     return Frame(
-        sequence, stamp, _decode_fields(layout, elements[_HEADER_LENGTH:])
+        sequence, stamp, _decode_fields(layout, elements[HEADER_LENGTH:])
     )
 
 
-def _encode_elements(sequence: int, stamp: int, body: Any) -> bytes:
-    layout = _layouts_by_type[type(body)]
-    elements = [sequence, stamp, layout.code, *_encode_fields(layout, body)]
-    try:
-        return cbor2.dumps(elements)
-    except UnicodeEncodeError:
-        return cbor2.dumps(_replace_invalid_text(elements))
-
-
 def _replace_invalid_text(element: Any) -> Any:
     """Return an element with all text that is not valid UTF-8 as bytes."""
     if isinstance(element, (list, tuple)):
--- a/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/exceptions.py
@@ -46,6 +46,10 @@
     """The link was lost; the message may or may not have been sent."""
 
 
+class NoRoomError(LinkError):
+    """There is no memory for the reply; the peer has handled the request."""
+
+
 class ReplyTimeoutError(LinkError):
     """The peer did not reply in time; it may have handled the request."""
 
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -11,6 +11,7 @@
 import contextlib
 import itertools
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from chivelead_protocol._internal import messages
@@ -20,15 +21,32 @@
     HybridClock,
     now_ms,
 )
-from chivelead_protocol._internal.codec import decode_frame, encode_frame
+from chivelead_protocol._internal.codec import (
+    Frame,
+    decode_frame,
+    encode_frame,
+    find_code,
+)
 from chivelead_protocol._internal.exceptions import (
     AuthenticationError,
     LinkLostError,
     LinkNotOpenError,
+    NoRoomError,
     ProtocolError,
     ReplyTimeoutError,
 )
+from chivelead_protocol._internal.frame_rooms import (
+    FrameRoom,
+    FrameRooms,
+    UnlimitedRooms,
+)
 from chivelead_protocol._internal.handshake import FrameQueue, client_handshake
+from chivelead_protocol._internal.large_frames import (
+    decode_header,
+    decode_large_frame,
+    encode_large_frame,
+    is_large,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -56,6 +74,7 @@
         port: Port on which the peer accepts links.
         secret: Fleet secret, shared by all nodes.
         clock: Hybrid logical clock of this process.
+        rooms: Memory for large replies; unlimited by default.
 
     Attributes:
         in_flight: Number of requests that wait for their reply.
@@ -71,6 +90,7 @@
         port: int,
         secret: bytes,
         clock: HybridClock,
+        rooms: FrameRooms | None = None,
     ) -> None:
         """Initialise the link; ``start`` opens it."""
         self.in_flight = 0
@@ -81,7 +101,9 @@
         self._address = (host, port)
         self._secret = secret
         self._clock = clock
+        self._rooms = rooms or UnlimitedRooms()
         self._replies: dict[int, asyncio.Future[Any]] = {}
+        self._reply_rooms: dict[int, FrameRoom] = {}
         self._sequence = itertools.count(1)
         self._channel: Channel | None = None
         self._liveness_task: asyncio.Task[None] | None = None
@@ -142,8 +164,10 @@
 
         Raises:
             EncodingError: The message cannot be encoded; nothing was sent.
-            LinkNotOpenError: The link is not open; nothing was sent.
+            LinkNotOpenError: The link is not open, or it was lost before the
+                message was complete.
             LinkLostError: The link was lost before the reply arrived.
+            NoRoomError: There is no memory for the reply.
             ReplyTimeoutError: No reply arrived in time.
             ProtocolError: The peer replied that it could not handle the
                 request.
@@ -159,7 +183,10 @@
             self._busy_since_ms = now_ms()
         self.in_flight += 1
         try:
-            await self._write(sequence, body)
+            if is_large(body):
+                await self._write_large(sequence, body, reply)
+            else:
+                await self._write(sequence, body)
             return _unwrap_reply(await reply)
         except TimeoutError as error:
             raise ReplyTimeoutError(
@@ -190,6 +217,38 @@
         channel.send(raw)
         await channel.drain()
 
+    async def _write_large(
+        self, sequence: int, body: Any, reply: asyncio.Future[Any]
+    ) -> None:
+        """Send a large message, or the part that the peer waits for.
+
+        A reply that comes before the message is complete refuses it.  The link
+        cannot be used any more then.
+        """
+        writing = asyncio.create_task(self._write_parts(sequence, body))
+        try:
+            await asyncio.wait(
+                (writing, reply), return_when=asyncio.FIRST_COMPLETED
+            )
+            if writing.done():
+                writing.result()
+        finally:
+            writing.cancel()
+
+    async def _write_parts(self, sequence: int, body: Any) -> None:
+        channel = self._channel
+        if channel is None:
+            raise LinkNotOpenError('send', f'link to {self._address} is closed')
+        parts = encode_large_frame(sequence, self._clock.stamp(), body)
+        self.bytes_sent += sum(map(len, parts))
+        try:
+            await channel.send_large(parts)
+        except LinkLostError as error:
+            raise LinkNotOpenError(
+                'send', f'link to {self._address} was lost'
+            ) from error
+        self.last_used_ms = now_ms()
+
     async def _authenticate(self, channel: Channel) -> None:
         await channel.wait_opened()
         frames = FrameQueue(channel)
@@ -202,28 +261,62 @@
         )
         self._channel = channel
         channel.on_frame = self._handle_frame
+        channel.on_large_frame = self._handle_large_frame
+        channel.admit = self._admit
         channel.on_close = self._handle_close
 
     def _remove_request(self, sequence: int) -> None:
         self.in_flight -= 1
         self._replies.pop(sequence, None)
+        room = self._reply_rooms.pop(sequence, None)
+        if room is not None:
+            room.close()
+
+    def _admit(self, prefix: bytes, size_bytes: int) -> FrameRoom | None:
+        try:
+            sequence, _, code = decode_header(prefix)
+        except ProtocolError:
+            return None
+        if code != find_code(messages.CallReply):
+            return self._rooms.hold(size_bytes)
+        room = self._rooms.take_reply(size_bytes)
+        reply = self._replies.get(-sequence)
+        if room is None and reply is not None and not reply.done():
+            reply.set_exception(
+                NoRoomError(
+                    f'reply of {self.peer_vm}',
+                    f'there is no memory left for {size_bytes} bytes',
+                )
+            )
+        return room
+
+    def _handle_large_frame(self, raw: bytearray, room: FrameRoom) -> None:
+        sequence = self._handle_frame(raw, decode_large_frame)
+        if -sequence in self._replies:
+            self._reply_rooms[-sequence] = room
+        else:
+            room.close()
 
     def _handle_close(self) -> None:
         if self._channel is not None:
             self._mark_closed('closed by the peer')
 
-    def _handle_frame(self, raw: bytes) -> None:
+    def _handle_frame(
+        self, raw: Any, decode: Callable[[Any], Frame] = decode_frame
+    ) -> int:
+        """Handle a frame; return its sequence number, or zero if malformed."""
         try:
-            frame = decode_frame(raw)
+            frame = decode(raw)
         except ProtocolError as error:
             logger.warning('link to %s: %s', self.peer_vm, error)
             if self._channel is not None:
                 self._channel.abort()
-            return
+            return 0
         self._clock.merge(frame.stamp)
         reply = self._replies.get(-frame.sequence)
         if reply is not None and not reply.done():
             reply.set_result(frame.message)
+        return frame.sequence
 
     async def _monitor_liveness(self, channel: Channel) -> None:
         while self._channel is channel:
--- a/packages/protocol/src/chivelead_protocol/_internal/link_server.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link_server.py
@@ -9,14 +9,30 @@
 from chivelead_protocol._internal import messages
 from chivelead_protocol._internal.channel import Channel, server_channel
 from chivelead_protocol._internal.clock import MS_PER_S, HybridClock, now_ms
-from chivelead_protocol._internal.codec import decode_frame, encode_frame
+from chivelead_protocol._internal.codec import (
+    Frame,
+    decode_frame,
+    encode_frame,
+    find_code,
+)
 from chivelead_protocol._internal.exceptions import (
     ChiveleadError,
     EncodingError,
     LinkLostError,
     ProtocolError,
 )
+from chivelead_protocol._internal.frame_rooms import (
+    FrameRoom,
+    FrameRooms,
+    UnlimitedRooms,
+)
 from chivelead_protocol._internal.handshake import FrameQueue, server_handshake
+from chivelead_protocol._internal.large_frames import (
+    decode_header,
+    decode_large_frame,
+    encode_large_frame,
+    is_large,
+)
 from chivelead_protocol._internal.link import (
     HANDSHAKE_TIMEOUT_MS,
     RECEIVE_TIMEOUT_MS,
@@ -24,6 +40,8 @@
 
 logger = logging.getLogger(__name__)
 
+_UNAVAILABLE = 503
+
 MessageHandler = Callable[[str, Any], Awaitable[Any]]
 
 
@@ -36,6 +54,7 @@
         clock: Hybrid logical clock of this process.
         message_handler: Called with the VM name of the peer and a message;
             returns the reply, or None for no reply.
+        rooms: Memory for calls; unlimited by default.
     """
 
     def __init__(
@@ -44,8 +63,10 @@
         secret: bytes,
         clock: HybridClock,
         message_handler: MessageHandler,
+        rooms: FrameRooms | None = None,
     ) -> None:
         """Initialise the server; ``start`` makes it listen."""
+        self._rooms = rooms or UnlimitedRooms()
         self._own_vm = own_vm
         self._secret = secret
         self._clock = clock
@@ -112,7 +133,13 @@
             )
             channel.close()
             return
-        link = _Session(channel, peer_vm, self._clock, self._message_handler)
+        link = _Session(
+            channel,
+            peer_vm,
+            self._clock,
+            self._message_handler,
+            self._rooms,
+        )
         self._links.add(link)
         try:
             await link.run(frames)
@@ -129,7 +156,9 @@
         peer_vm: str,
         clock: HybridClock,
         message_handler: MessageHandler,
+        rooms: FrameRooms,
     ) -> None:
+        self._rooms = rooms
         self._channel = channel
         self._peer_vm = peer_vm
         self._clock = clock
@@ -154,6 +183,9 @@
         """Handle messages until the connection closes or times out."""
         channel = self._channel
         channel.on_frame = self._handle_frame
+        channel.on_large_frame = self._handle_large_frame
+        channel.on_progress = self._note_received
+        channel.admit = self._admit
         channel.on_close = self._ended.set
         for raw in frames.take_remaining():
             self._handle_frame(raw)
@@ -174,28 +206,69 @@
                 async with asyncio.timeout(left_ms / MS_PER_S):
                     await self._ended.wait()
 
-    def _handle_frame(self, raw: bytes) -> None:
+    def _note_received(self) -> None:
         if self._channel.longest_silence_ms > RECEIVE_TIMEOUT_MS:
             # The process was paused.  The peer has timed out in the meantime,
             # so it does not wait for replies to the frames still buffered.
             self._ended.set()
-        if self._ended.is_set():
-            return
+
+    def _admit(self, prefix: bytes, size_bytes: int) -> FrameRoom | None:
         try:
-            frame = decode_frame(raw)
-        except ProtocolError as error:
-            logger.warning('link from %s: %s', self._peer_vm, error)
+            sequence, _, code = decode_header(prefix)
+        except ProtocolError:
             self._ended.set()
+            return None
+        if code != find_code(messages.CallRequest):
+            return self._rooms.hold(size_bytes)
+        room = self._rooms.take_request(size_bytes)
+        if room is None and sequence:
+            self._reply(sequence, _no_room_reply())
+        return room
+
+    def _handle_large_frame(self, raw: bytearray, room: FrameRoom) -> None:
+        frame = self._decode(raw, decode_large_frame)
+        if frame is None:
+            room.close()
+        else:
+            self._start_handling(frame, room)
+
+    def _handle_frame(self, raw: bytes) -> None:
+        frame = self._decode(raw, decode_frame)
+        if frame is None:
             return
-        self._clock.merge(frame.stamp)
         if isinstance(frame.message, messages.Ping):
             self._reply(frame.sequence, messages.Pong())
             return
+        room: FrameRoom | None = None
+        if isinstance(frame.message, messages.CallRequest):
+            room = self._rooms.take_request(len(raw))
+            if room is None:
+                self._reply(frame.sequence, _no_room_reply())
+                return
+        self._start_handling(frame, room)
+
+    def _decode(self, raw: Any, decode: Callable[[Any], Frame]) -> Frame | None:
+        """Return the frame, or None if the link has ended."""
+        self._note_received()
+        if self._ended.is_set():
+            return None
+        try:
+            frame = decode(raw)
+        except ProtocolError as error:
+            logger.warning('link from %s: %s', self._peer_vm, error)
+            self._ended.set()
+            return None
+        self._clock.merge(frame.stamp)
+        return frame
+
+    def _start_handling(self, frame: Frame, room: FrameRoom | None) -> None:
         task = asyncio.create_task(
             self._handle_message(frame.sequence, frame.message)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        if room is not None:
+            task.add_done_callback(lambda _: room.close())
 
     async def _handle_message(self, sequence: int, body: Any) -> None:
         try:
@@ -205,9 +278,28 @@
         except Exception as error:
             logger.exception('failed to handle %s', type(body).__name__)
             reply = messages.Failure(repr(error))
-        if sequence and reply is not None:
+        if not sequence or reply is None:
+            return
+        if not is_large(reply):
             await self._channel.drain()
             self._reply(sequence, reply)
+            return
+        try:
+            await self._reply_in_parts(sequence, reply)
+        except EncodingError as error:
+            logger.warning('reply to %s: %s', self._peer_vm, error)
+            self._reply(sequence, messages.Failure(str(error)))
+
+    async def _reply_in_parts(self, sequence: int, reply: Any) -> None:
+        parts = encode_large_frame(-sequence, self._clock.stamp(), reply)
+        room = self._rooms.hold(sum(map(len, parts)))
+        try:
+            await self._channel.send_large(parts)
+        except LinkLostError:
+            return
+        finally:
+            room.close()
+        self._call_reply_end_bytes = self._channel.sent_bytes
 
     def _reply(self, sequence: int, reply: Any) -> None:
         """Send a reply, or a failure in place of one that cannot be sent."""
@@ -222,3 +314,19 @@
 
     def _send(self, sequence: int, body: Any) -> None:
         self._channel.send(encode_frame(sequence, self._clock.stamp(), body))
+
+
+def _no_room_reply() -> messages.CallReply:
+    """Return the reply to a call for whose body there is no memory."""
+    return messages.CallReply(
+        status=_UNAVAILABLE,
+        headers=(),
+        body=b"the target's node has no memory left for the body",
+        outcome=messages.Outcome.not_run,
+        reason='memory',
+        retry_allowance=0,
+        shed_level=0,
+        queue_ms=0,
+        load=0,
+        downstream_shed_level=0,
+    )
