--- a/packages/node/src/chivelead_node/_internal/calls.py
+++ b/packages/node/src/chivelead_node/_internal/calls.py
@@ -4,6 +4,8 @@
 
 from chivelead_protocol import CallReply, Headers, Outcome
 
+from chivelead_node._internal.body_memory import BodyShare
+
 HEADER_OUTCOME = 'Chivelead-Outcome'
 HEADER_REQUEST_ID = 'Chivelead-Request-Id'
 HEADER_TIMEOUT = 'Chivelead-Timeout-Ms'
@@ -42,6 +44,7 @@
         deadline_ms: Event loop time at which the caller gives up.
         queue_limit_ms: Maximum wait for admission; zero if only the deadline
             limits it.
+        body_share: Memory that is counted for the body, if it is counted.
         attempted_vms: VMs that the call was sent to, in order.
         attempt_ids: IDs of these attempts.
     """
@@ -59,6 +62,7 @@
     deadline_ms: float
     allowance: RetryAllowance
     queue_limit_ms: float = 0
+    body_share: BodyShare | None = None
     attempted_vms: list[str] = dataclasses.field(default_factory=list)
     attempt_ids: list[str] = dataclasses.field(default_factory=list)
 
--- a/packages/node/src/chivelead_node/_internal/links.py
+++ b/packages/node/src/chivelead_node/_internal/links.py
@@ -2,20 +2,26 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 from typing import Any
 
 from chivelead_coordination import Membership, Network
 from chivelead_protocol import (
+    LARGE_FRAME_BYTES,
+    CallRequest,
     ChiveleadError,
     HybridClock,
     LinkLostError,
     LinkNotOpenError,
     PeerLink,
+    Ping,
     now_ms,
     start_supervised,
 )
 
+from chivelead_node._internal.body_memory import BodyMemory
+
 logger = logging.getLogger(__name__)
 
 _IDLE_TIMEOUT_MS = 12_000
@@ -34,6 +40,7 @@
         membership: Source of the addresses of nodes.
         secret: Shared secret that authenticates the nodes of the fleet.
         clock: Clock of this process.
+        body_memory: Memory for large replies; unlimited by default.
     """
 
     def __init__(
@@ -41,13 +48,17 @@
         membership: Membership,
         secret: bytes,
         clock: HybridClock,
+        body_memory: BodyMemory | None = None,
     ) -> None:
         """Create an empty pool."""
+        self._body_memory = body_memory
         self.closed_link_bytes = 0
         self._membership = membership
         self._secret = secret
         self._clock = clock
         self._links: dict[str, PeerLink] = {}
+        # Idle links for large messages, which others do not have to wait for.
+        self._large_links: dict[str, list[PeerLink]] = {}
         self._connecting: dict[str, asyncio.Task[PeerLink]] = {}
         self._failed_at_ms: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -55,7 +66,10 @@
     @property
     def bytes_sent(self) -> int:
         """Return the bytes sent over all links, including closed ones."""
-        open_bytes = sum(link.bytes_sent for link in self._links.values())
+        open_links = itertools.chain(
+            self._links.values(), *self._large_links.values()
+        )
+        open_bytes = sum(link.bytes_sent for link in open_links)
         return self.closed_link_bytes + open_bytes
 
     def is_failing(self, vm: str) -> bool:
@@ -73,11 +87,15 @@
         """Close all links."""
         for task in self._tasks:
             task.cancel()
-        for link in tuple(self._links.values()):
+        for link in itertools.chain(
+            tuple(self._links.values()), *self._large_links.values()
+        ):
             await link.close()
 
     async def request(self, vm: str, body: Any, timeout_ms: float) -> Any:
         """Send a message, opening a link if needed, and return the reply."""
+        if isinstance(body, CallRequest) and len(body.body) > LARGE_FRAME_BYTES:
+            return await self._request_large(vm, body, timeout_ms)
         link = self._links.get(vm)
         if link is None or not link.is_open:
             link = await self._open(vm)
@@ -101,12 +119,56 @@
             port,
             self._secret,
             self._clock,
+            self._body_memory,
         )
         await link.start()
         await self._close_link(link.peer_vm)
         self._links[link.peer_vm] = link
         return link.peer_vm
 
+    async def _request_large(
+        self, vm: str, body: Any, timeout_ms: float
+    ) -> Any:
+        """Send a large message over a link that carries no other ones."""
+        idle_links = self._large_links.setdefault(vm, [])
+        while idle_links and not idle_links[-1].is_open:
+            await self._retire(idle_links.pop())
+        link = (
+            idle_links.pop()
+            if idle_links
+            else await self._connect_and_ping(vm, timeout_ms)
+        )
+        try:
+            reply = await link.request(body, timeout_ms)
+        except BaseException:
+            await self._retire(link)
+            raise
+        self._large_links.setdefault(vm, []).append(link)
+        return reply
+
+    async def _connect_and_ping(self, vm: str, timeout_ms: float) -> PeerLink:
+        """Open a link and wait until the peer has authenticated this node.
+
+        Until then, the peer drops large messages.
+        """
+        link = await self._connect(vm)
+        try:
+            await link.request(Ping(), timeout_ms)
+        except ChiveleadError as error:
+            await self._retire(link)
+            raise LinkNotOpenError(
+                f'connect to {vm}', 'no answer to a ping'
+            ) from error
+        except BaseException:
+            await self._retire(link)
+            raise
+        return link
+
+    async def _retire(self, link: PeerLink) -> None:
+        self.closed_link_bytes += link.bytes_sent
+        with contextlib.suppress(ChiveleadError):
+            await link.close()
+
     async def _open(self, vm: str) -> PeerLink:
         failed_at_ms = self._failed_at_ms.get(vm, -_RECONNECT_DELAY_MS)
         if now_ms() - failed_at_ms < _RECONNECT_DELAY_MS:
@@ -123,6 +185,13 @@
         return await asyncio.shield(connecting)
 
     async def _open_once(self, vm: str) -> PeerLink:
+        link = await self._connect(vm)
+        self._failed_at_ms.pop(vm, None)
+        await self._close_link(vm)
+        self._links[vm] = link
+        return link
+
+    async def _connect(self, vm: str) -> PeerLink:
         member = self._membership.find(vm)
         if member is None:
             raise LinkNotOpenError(
@@ -134,23 +203,19 @@
             member.peer_port,
             self._secret,
             self._clock,
+            self._body_memory,
         )
         try:
             await link.start()
         except ChiveleadError:
             self._failed_at_ms[vm] = now_ms()
             raise
-        self._failed_at_ms.pop(vm, None)
-        await self._close_link(vm)
-        self._links[vm] = link
         return link
 
     async def _close_link(self, vm: str) -> None:
         link = self._links.pop(vm, None)
         if link is not None:
-            self.closed_link_bytes += link.bytes_sent
-            with contextlib.suppress(ChiveleadError):
-                await link.close()
+            await self._retire(link)
 
     async def _close_idle_forever(self) -> None:
         while True:
@@ -160,6 +225,20 @@
                 idle = link.last_used_ms < oldest_use_ms and not link.in_flight
                 if idle or not link.is_open:
                     await self._close_link(vm)
+            await self._close_idle_large_links(oldest_use_ms)
+
+    async def _close_idle_large_links(self, oldest_use_ms: float) -> None:
+        for vm, links in tuple(self._large_links.items()):
+            expired = [
+                link
+                for link in links
+                if link.last_used_ms < oldest_use_ms or not link.is_open
+            ]
+            for link in expired:
+                links.remove(link)
+                await self._retire(link)
+            if not links:
+                self._large_links.pop(vm, None)
 
     async def _reopen_forever(self) -> None:
         while True:
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -23,18 +23,21 @@
     EncodingError,
     LinkNotOpenError,
     Member,
+    NoRoomError,
     Outcome,
     ReplyTimeoutError,
     loop_ms,
 )
 
 from chivelead_node._internal import calls
+from chivelead_node._internal.body_memory import BodyShare
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.request_guard import HARMFUL_REQUEST
 from chivelead_node._internal.target_estimates import TargetEstimates
 from chivelead_node._internal.target_notices import PeerTargetNotices
 
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _DRAINING_AVOIDANCE_MS = 2000.0
@@ -48,7 +51,7 @@
 
 # Reasons of failures that say nothing about the target.
 _DELIVERY_FAILURES = frozenset(
-    ('unreachable', 'link-lost', 'not-encodable', 'timeout'),
+    ('unreachable', 'link-lost', 'not-encodable', 'timeout', 'memory'),
 )
 
 LocalHandler = Callable[[CallRequest], Coroutine[Any, Any, CallReply]]
@@ -240,7 +243,7 @@
         )
         started_ms = loop_ms()
         try:
-            reply = await self._send_attempt(vm, request)
+            reply = await self._send_attempt(vm, request, call.body_share)
         except asyncio.CancelledError:
             self._estimates.record_abandoned_call(vm, loop_ms() - started_ms)
             await self._cancel(vm, request.attempt_id)
@@ -273,13 +276,15 @@
             notice=self._notices.find(vm),
         )
 
-    async def _send_attempt(self, vm: str, request: CallRequest) -> CallReply:
+    async def _send_attempt(
+        self, vm: str, request: CallRequest, body_share: BodyShare | None
+    ) -> CallReply:
         if request.timeout_ms <= 0:
             return _delivery_failure(
                 _GATEWAY_TIMEOUT, 'deadline', Outcome.not_run
             )
         try:
-            reply = await self._deliver(vm, request)
+            reply = await self._deliver(vm, request, body_share)
         except LinkNotOpenError:
             self._outliers.record_failure(vm)
             return _delivery_failure(
@@ -295,20 +300,26 @@
             return _delivery_failure(_UNAVAILABLE, 'link-lost', Outcome.unknown)
         return reply
 
-    async def _deliver(self, vm: str, request: CallRequest) -> CallReply:
+    async def _deliver(
+        self, vm: str, request: CallRequest, body_share: BodyShare | None
+    ) -> CallReply:
         if vm == self._membership.own.vm:
-            return await self._run_locally(request)
+            return await self._run_locally(request, body_share)
         try:
             reply = await self._links.request(vm, request, request.timeout_ms)
         except EncodingError:
             return _delivery_failure(
                 _UNAVAILABLE, 'not-encodable', Outcome.not_run
             )
+        except NoRoomError:
+            return _delivery_failure(_BAD_GATEWAY, 'memory', Outcome.unknown)
         if not isinstance(reply, CallReply):
             raise ChiveleadError(f'call {vm}', 'the reply is not a CallReply')
         return reply
 
-    async def _run_locally(self, request: CallRequest) -> CallReply:
+    async def _run_locally(
+        self, request: CallRequest, body_share: BodyShare | None
+    ) -> CallReply:
         if request.idempotent:
             return await self._run_at_own_target(request)
         # A non-idempotent call must run to its end even if its caller
@@ -316,6 +327,9 @@
         task = asyncio.ensure_future(self._run_at_own_target(request))
         self._local_tasks.add(task)
         task.add_done_callback(self._local_tasks.discard)
+        if body_share is not None:
+            body_share.retain()
+            task.add_done_callback(lambda _: body_share.close())
         return await asyncio.shield(task)
 
     async def _cancel(self, vm: str, attempt_id: str) -> None:
@@ -388,6 +402,7 @@
         'unreachable': "the target's node cannot be reached",
         'timeout': 'no answer came in time',
         'not-encodable': 'the request cannot be sent over a link',
+        'memory': 'this node has no memory left for the answer',
         'link-lost': "the link to the target's node was lost",
     }
     return calls.refusal_reply(
--- a/packages/node/src/chivelead_node/_internal/proxy/buffered_response.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/buffered_response.py
@@ -2,11 +2,15 @@
 
 import http
 import types
+import weakref
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import ClientConnectionResetError, HttpVersion11, web
 from aiohttp.abc import AbstractStreamWriter
-from chivelead_protocol import Headers
+from chivelead_protocol import LARGE_FRAME_BYTES, Headers
+
+from chivelead_node._internal.body_memory import BodyShare
 
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
@@ -33,6 +37,13 @@
         super().__init__(status=status)
         self._header_fields = headers
         self._body_bytes = body
+        self._release_body: Callable[[], object] = _do_nothing
+
+    def hold_body(self, share: BodyShare) -> None:
+        """Close a share when the response is sent or will never be."""
+        release = weakref.finalize(self, share.close)
+        release.atexit = False
+        self._release_body = release
 
     async def prepare(
         self,
@@ -54,11 +65,15 @@
         request = self._req
         if request is None or request.transport is None:
             raise ClientConnectionResetError('the client has disconnected')
-        request.transport.write(
-            self._encode_head(request.method) + self._body_bytes
-        )
+        head = self._encode_head(request.method)
+        if len(self._body_bytes) > LARGE_FRAME_BYTES:
+            request.transport.write(head)
+            request.transport.write(self._body_bytes)
+        else:
+            request.transport.write(head + self._body_bytes)
         self._eof_sent = True
         await request.protocol._drain_helper()  # noqa: SLF001
+        self._release_body()
 
     def _encode_head(self, method: str) -> bytes:
         status = self.status
@@ -74,3 +89,7 @@
             lines.append('Connection: close')
         head = '\r\n'.join(lines)
         return f'{head}\r\n\r\n'.encode('utf-8', 'surrogateescape')
+
+
+def _do_nothing() -> None:
+    """Release nothing, since no share is held."""
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -32,6 +32,7 @@
 )
 from chivelead_protocol import HybridClock, Member, TargetState
 
+from chivelead_node._internal.body_memory import BodyMemory
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.links import LinkPool
@@ -84,9 +85,9 @@
 _RESPONSE_LIMIT_BYTES = 67_108_864
 _LOGGED_CALL_EVENTS = frozenset(('refused', 'target-failed', 'attempt-failed'))
 _BYTES_PER_MB = 1_000_000
-# For request bodies and for response bodies each.  Up to three copies of a body
-# are in memory while it is forwarded; the rest is left to the process itself.
-_BUFFER_MEMORY_FRACTION = 0.15
+# For all bodies.  The rest is for the process itself, for what its connections
+# have received, and for the second copy of a body that is being converted.
+_BODY_MEMORY_FRACTION = 0.34
 _BOOT_ID_BYTES = 8
 _SEED_BITS = 32
 _MS_PER_S = 1000
@@ -99,6 +100,7 @@
     clock: HybridClock
     events: EventLog
     metrics: ProxyMetrics
+    body_memory: BodyMemory
     membership: Membership
     links: LinkPool
     store: PlatformStore
@@ -142,7 +144,10 @@
     )
     metrics = ProxyMetrics()
     membership = Membership(_build_own_member(settings))
-    links = LinkPool(membership, LINK_SECRET, clock)
+    body_memory = BodyMemory(
+        settings.memory_limit_mb * _BYTES_PER_MB * _BODY_MEMORY_FRACTION
+    )
+    links = LinkPool(membership, LINK_SECRET, clock, body_memory)
     era = StoreEra()
     store = PlatformStore(
         settings.store.address,
@@ -159,10 +164,7 @@
         # calls, and its estimate would never improve.
         shed_late=False,
     )
-    buffer_limit_bytes = (
-        settings.memory_limit_mb * _BYTES_PER_MB * _BUFFER_MEMORY_FRACTION
-    )
-    target = LocalTarget(_RESPONSE_LIMIT_BYTES, buffer_limit_bytes)
+    target = LocalTarget(_RESPONSE_LIMIT_BYTES, body_memory)
     registration = TargetRegistration(
         target,
         admission,
@@ -253,6 +255,7 @@
         clock=clock,
         events=events,
         metrics=metrics,
+        body_memory=body_memory,
         membership=membership,
         links=links,
         store=store,
@@ -272,7 +275,7 @@
             overload,
             events,
             metrics,
-            buffer_limit_bytes,
+            body_memory,
         ),
         call_runner=call_runner,
         plan_feed=plan_feed,
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -80,6 +80,7 @@
             LINK_SECRET,
             self._components.clock,
             self._handle_peer_request,
+            self._components.body_memory,
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
@@ -323,6 +324,9 @@
             components.metrics.gauge(
                 'plan', components.plan_feed.current.version
             )
+            components.metrics.gauge(
+                'body_bytes', components.body_memory.held_bytes
+            )
             components.metrics.gauge(
                 'peers', components.membership.count_alive()
             )
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -18,6 +18,12 @@
 from chivelead_protocol import Headers, loop_ms
 
 from chivelead_node._internal import calls
+from chivelead_node._internal.body_memory import (
+    BodyKind,
+    BodyMemory,
+    BodyShare,
+)
+from chivelead_node._internal.body_reader import read_body
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.proxy.call_runner import CallRunner
 from chivelead_node._internal.proxy.metrics import ProxyMetrics
@@ -28,7 +34,6 @@
     response_from_reply,
 )
 from chivelead_node._internal.raw_headers import decode_headers
-from chivelead_node._internal.requests import read_body
 from chivelead_node._internal.server_connections import ServerConnection
 
 _UNAUTHORISED = 401
@@ -46,6 +51,8 @@
 _TARGET_CALL_QUEUE_WAIT_FRACTION = 0.5
 # Leaves time for the overload to subside before a refused caller retries.
 _SHED_RETRY_AFTER_MS = 700.0
+# Large bodies are usually forwarded by then.
+_MEMORY_RETRY_AFTER_MS = 500.0
 # By then, a node without a plan has received one, and a node that is shutting
 # down no longer gets requests.
 _UNAVAILABLE_RETRY_AFTER_MS = 200.0
@@ -77,8 +84,7 @@
         overload: Tells which requests lead to overloaded services.
         events: Event log.
         metrics: Counters and histograms.
-        buffer_limit_bytes: Limit on the total size of the request bodies held
-            in memory.
+        body_memory: Memory for the bodies of requests and responses.
     """
 
     def __init__(  # noqa: WPS211
@@ -90,7 +96,7 @@
         overload: FleetOverload,
         events: EventLog,
         metrics: ProxyMetrics,
-        buffer_limit_bytes: float,
+        body_memory: BodyMemory,
     ) -> None:
         """Create an ingress without a plan, which refuses all requests."""
         self.in_flight = 0
@@ -103,8 +109,7 @@
         self._overload = overload
         self._events = events
         self._metrics = metrics
-        self._buffer_limit_bytes = buffer_limit_bytes
-        self._buffered_bytes = 0
+        self._body_memory = body_memory
         self._plan: TrafficPlan | None = None
         self._splits: dict[str, WeightedSplit] = {}
         self._dropped_headers = _HOP_BY_HOP_HEADERS | frozenset(
@@ -156,9 +161,26 @@
         request: web.BaseRequest,
         request_id: str,
         arrived_ms: float,
+    ) -> web.StreamResponse:
+        share = self._body_memory.open_share(BodyKind.request)
+        try:
+            return await self._respond_with_share(
+                request, request_id, arrived_ms, share
+            )
+        finally:
+            share.close()
+
+    async def _respond_with_share(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        arrived_ms: float,
+        share: BodyShare,
     ) -> web.StreamResponse:
         try:
-            call = await self._build_call(request, request_id, arrived_ms)
+            call = await self._build_call(
+                request, request_id, arrived_ms, share
+            )
         except calls.RefusedCallError as error:
             refusal = error.refusal
             self._record_end(
@@ -170,14 +192,12 @@
                 retry_after_ms=round(refusal.retry_after_ms),
             )
             return response_from_refusal(refusal)
-        self._buffered_bytes += len(call.body)
-        try:
-            reply = await self._runner.run(
-                call, cast('ServerConnection', request.protocol)
-            )
-        finally:
-            self._buffered_bytes -= len(call.body)
+        reply = await self._runner.run(
+            call, cast('ServerConnection', request.protocol)
+        )
         response = response_from_reply(reply)
+        if reply.body:
+            response.hold_body(self._body_memory.hold(len(reply.body)))
         self._record_end(
             request_id,
             arrived_ms,
@@ -193,13 +213,18 @@
         return response
 
     async def _read_body(
-        self, request: web.BaseRequest, limit_bytes: int
+        self, request: web.BaseRequest, share: BodyShare, limit_bytes: int
     ) -> bytes:
         if not request.can_read_body:
             return b''
         try:
             body = await self._runner.timeouts.run(
-                read_body(request, limit_bytes)
+                read_body(
+                    request,
+                    share,
+                    limit_bytes,
+                    add_jitter(_MEMORY_RETRY_AFTER_MS),
+                )
             )
         except TimeoutError as error:
             raise _unavailable('closing') from error
@@ -213,6 +238,7 @@
         request: web.BaseRequest,
         request_id: str,
         arrived_ms: float,
+        share: BodyShare,
     ) -> calls.Call:
         plan = self._plan
         if plan is None or self.refusing:
@@ -236,11 +262,9 @@
         else:
             self._check_rate(organisation)
             self._check_overload(route, service, importance)
-        if self._buffered_bytes + (request.content_length or 0) > (
-            self._buffer_limit_bytes
-        ):
-            raise _unavailable('memory')
-        body = await self._read_body(request, plan.limits.body_limit_bytes)
+        body = await self._read_body(
+            request, share, plan.limits.body_limit_bytes
+        )
         wait_fraction = (
             _TARGET_CALL_QUEUE_WAIT_FRACTION
             if is_target_call
@@ -260,6 +284,7 @@
             deadline_ms=arrived_ms + remaining_ms,
             allowance=calls.RetryAllowance(route.max_attempts - 1),
             queue_limit_ms=route.objective_ms * wait_fraction,
+            body_share=share,
         )
 
     def _authenticate(
--- a/packages/node/src/chivelead_node/_internal/proxy/main.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/main.py
@@ -14,6 +14,7 @@
 from chivelead_platform import ProcessSettings, load_process_settings
 from chivelead_protocol import ConfigurationError
 
+from chivelead_node._internal.proxy.allocator import return_freed_memory
 from chivelead_node._internal.proxy.daemon import ProxyDaemon
 
 _EXIT_CONFIGURATION_ERROR = 2
@@ -46,6 +47,7 @@
 
 def main() -> None:
     """Load the settings and run the node."""
+    return_freed_memory()
     try:
         uvloop.run(serve(load_process_settings()))
     except ConfigurationError as error:
--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -14,12 +14,12 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
-from chivelead_protocol import Headers, loop_ms
+from chivelead_protocol import LARGE_FRAME_BYTES, Headers, loop_ms
 
 from chivelead_node._internal.chunked_ends import ReceivedBytes
 
-# Responses up to this size are buffered without pausing the connection.
-_READ_BUFFER_BYTES = 1_048_576
+# The connection is paused when twice as much has not been read.
+_READ_BUFFER_BYTES = 65_536
 # The shortest common default among HTTP servers, for targets that send no
 # Keep-Alive timeout.
 _DEFAULT_IDLE_TIMEOUT_MS = 5000.0
@@ -105,7 +105,7 @@
             max_headers=_MAX_HEADERS,
         )
 
-    def write(self, raw: bytes) -> None:
+    def write(self, head: bytes, body: bytes) -> None:
         """Write an encoded request.
 
         Raises:
@@ -118,7 +118,11 @@
         self._head_bytes = 0
         self._is_idle = False
         self.last_active_ms = loop_ms()
-        self.transport.write(raw)
+        if len(body) <= LARGE_FRAME_BYTES:
+            self.transport.write(head + body)
+            return
+        self.transport.write(head)
+        self.transport.write(body)
 
     def mark_idle(self, idle_timeout_ms: float) -> None:
         """Note that the response is complete; any more bytes belong to none.
@@ -154,6 +158,9 @@
         """Return whether another request may be written."""
         if self.should_close or not self.is_connected():
             return False
+        # The target has responded before it read the whole request.
+        if self.transport is None or self.transport.get_write_buffer_size():
+            return False
         return loop_ms() - self.idle_since_ms < self.idle_timeout_ms
 
 
@@ -249,31 +256,31 @@
     return any(map(_STATUS_LINE.search, response_head.headers.values()))
 
 
-def encode_request(
+def encode_head(
     method: str,
     path: str,
     headers: Headers,
-    body: bytes,
+    body_bytes: int,
 ) -> bytes:
-    """Encode a request.
+    """Encode the head of a request.
 
     Args:
         method: HTTP method.
         path: Encoded path and query string.
         headers: All headers except Content-Length; must include Host.
-        body: Complete request body.
+        body_bytes: Size of the request body.
 
     Raises:
         ValueError: A header or the path contains a line break.
     """
     lines = [f'{method} {path} HTTP/1.1']
     lines.extend(f'{name}: {header_value}' for name, header_value in headers)
-    if body or method in _METHODS_WITH_BODY:
-        lines.append(f'Content-Length: {len(body)}')
+    if body_bytes or method in _METHODS_WITH_BODY:
+        lines.append(f'Content-Length: {body_bytes}')
     head = '\r\n'.join(lines)
     if head.count('\n') >= len(lines):
         raise ValueError('a header contains a line break')
-    return f'{head}\r\n\r\n'.encode('utf-8', 'surrogateescape') + body
+    return f'{head}\r\n\r\n'.encode('utf-8', 'surrogateescape')
 
 
 def keep_alive_timeout_ms(headers: Headers) -> float:
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -9,11 +9,16 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from chivelead_protocol import Headers, TargetState, now_ms
 
+from chivelead_node._internal.body_memory import (
+    BodyKind,
+    BodyMemory,
+    BodyShare,
+)
 from chivelead_node._internal.raw_headers import decode_headers
 from chivelead_node._internal.target_connections import (
     TargetConnection,
     TargetConnectionPool,
-    encode_request,
+    encode_head,
     keep_alive_timeout_ms,
 )
 
@@ -29,6 +34,8 @@
 _STATE_NAMES = frozenset(state.value for state in TargetState)
 _MAX_COUNT = 100_000
 _MAX_PORT = 65535
+# Targets cut off responses that are not read for some seconds.
+_MAX_WAIT_MS = 1000.0
 
 
 class BadAnnouncementError(Exception):
@@ -112,19 +119,17 @@
 
     Args:
         body_limit_bytes: Maximum size of a response body.
-        buffer_limit_bytes: Maximum size of all bodies that are being received;
-            unlimited by default.
+        body_memory: Memory for response bodies; unlimited by default.
     """
 
     def __init__(
-        self, body_limit_bytes: int, buffer_limit_bytes: float = math.inf
+        self, body_limit_bytes: int, body_memory: BodyMemory | None = None
     ) -> None:
         """Create a client without a known target."""
         self.announcement: Announcement | None = None
         self.last_announced_ms = 0.0
         self._body_limit_bytes = body_limit_bytes
-        self._buffer_limit_bytes = buffer_limit_bytes
-        self._buffered_bytes = 0
+        self._body_memory = body_memory or BodyMemory(math.inf)
         self._pool: TargetConnectionPool | None = None
 
     async def apply_announcement(self, announcement: Announcement) -> None:
@@ -183,12 +188,12 @@
                 'no target has announced itself', may_have_run=False
             )
         try:
-            raw = encode_request(method, path, headers, body)
+            head = encode_head(method, path, headers, len(body))
             connection = await pool.acquire(has_body=method != 'HEAD')
         except (OSError, ValueError) as error:
             raise TargetFailedError(str(error), may_have_run=False) from error
         try:
-            connection.write(raw)
+            connection.write(head, body)
             response = await self._receive(connection, is_own_response)
         except _RESPONSE_ERRORS as error:
             connection.abort()
@@ -211,37 +216,60 @@
             response_head, payload = await connection.read_response()
             headers = decode_headers(response_head.raw_headers)
             is_match = is_own_response(response_head.code, headers)
-            body = await self._read_body(payload)
+            body = await self._read_body(payload, _announced_bytes(headers))
             if is_match:
                 return TargetResponse(response_head.code, headers, body)
         raise TargetFailedError(
             'received only responses to other requests', may_have_run=True
         )
 
-    async def _read_body(self, payload: aiohttp.StreamReader) -> bytes:
+    async def _read_body(
+        self, payload: aiohttp.StreamReader, announced_bytes: int
+    ) -> bytes:
         if payload.is_eof() and payload.total_bytes <= self._body_limit_bytes:
             return payload.read_nowait()
-        chunks: list[bytes] = []
-        size = 0
+        share = self._body_memory.open_share(BodyKind.response)
         try:
-            async for chunk in payload.iter_any():
-                size += len(chunk)
-                self._buffered_bytes += len(chunk)
-                chunks.append(chunk)
-                self._check_size(size)
+            return await self._read_chunks(payload, share, announced_bytes)
         finally:
-            self._buffered_bytes -= size
-        return b''.join(chunks)
+            share.close()
 
-    def _check_size(self, body_bytes: int) -> None:
-        if body_bytes > self._body_limit_bytes:
-            raise TargetFailedError(
-                'response body exceeds the size limit', may_have_run=True
-            )
-        if self._buffered_bytes > self._buffer_limit_bytes:
-            raise TargetFailedError(
-                'responses exceed the memory for them', may_have_run=True
+    async def _read_chunks(
+        self,
+        payload: aiohttp.StreamReader,
+        share: BodyShare,
+        announced_bytes: int,
+    ) -> bytes:
+        # The target stops sending until there is memory for all of the body.
+        has_room = await share.wait_and_grow(announced_bytes, _MAX_WAIT_MS)
+        limit_bytes: float = self._body_limit_bytes
+        if not announced_bytes:
+            # The body may have no end.
+            limit_bytes = min(
+                limit_bytes, self._body_memory.limit_without_length_bytes
             )
+        body = bytearray()
+        async for chunk in payload.iter_any():
+            body += chunk
+            if len(body) > limit_bytes:
+                raise TargetFailedError(
+                    'response body exceeds the size limit', may_have_run=True
+                )
+            if len(body) > announced_bytes:
+                has_room = has_room and share.grow(len(chunk))
+            if not has_room:
+                raise TargetFailedError(
+                    f'no memory left for the response: {share.describe()}',
+                    may_have_run=True,
+                )
+        return bytes(body)
+
+
+def _announced_bytes(headers: Headers) -> int:
+    for name, header_value in headers:
+        if name.lower() == 'content-length' and header_value.isdigit():
+            return int(header_value)
+    return 0
 
 
 def _require_text(raw: dict[str, Any], name: str) -> str:
--- a/packages/node/tests/unit/test_target_connections.py
+++ b/packages/node/tests/unit/test_target_connections.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from chivelead_node._internal.target_connections import encode_request
+from chivelead_node._internal.target_connections import encode_head
 from chivelead_node._internal.targets import (
     Announcement,
     LocalTarget,
@@ -241,4 +241,4 @@
 
 def test_line_break_in_a_header_is_rejected():
     with pytest.raises(ValueError, match='line break'):
-        encode_request('GET', '/', (('A', 'b\r\nC: d'),), b'')
+        encode_head('GET', '/', (('A', 'b\r\nC: d'),), 0)
--- a/tests/functional/test_platform_requests.py
+++ b/tests/functional/test_platform_requests.py
@@ -174,14 +174,14 @@
 async def test_body_over_the_buffer_limit_of_a_node_is_refused():
     """The body is not read if its Content-Length exceeds the free buffer."""
     async with running_fleet('orders') as fleet:
-        ingress = fleet.components(0).ingress
-        ingress._buffered_bytes = ingress._buffer_limit_bytes - 1000
+        body_memory = fleet.components(0).body_memory
+        share = body_memory.hold(int(body_memory._limit_bytes) - 1000)
         status, response_headers, _ = await fleet.send_request(
             0, '/book/', 'POST', data=b'x' * 2000
         )
         assert (status, 'Retry-After' in response_headers) == (503, True)
         assert not fleet.targets[0].received_requests
-        ingress._buffered_bytes = 0
+        share.close()
         assert (await fleet.send_request(0, '/book/', 'POST', data=b'x'))[
             0
         ] == 200
--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -294,7 +294,8 @@
     the delay, except for health probes, which fail
     unless ``healthy`` is set.  ``received_requests`` holds each request, except
     health probes, with its body.  ``cancelled_count`` counts the requests that
-    were cancelled during the delay.
+    were cancelled during the delay.  Without ``keeps_bodies``, only the number
+    of bytes of each body is kept.
     """
 
     def __init__(self, service):
@@ -307,6 +308,7 @@
         self.response_size_bytes = 0
         self.cancelled_count = 0
         self.response_handler = None
+        self.keeps_bodies = True
         self.healthy = True
         self.started_ms = 1000
         self._runner = None
@@ -373,7 +375,10 @@
                     'X-Instance-Load': '0,0,4',
                 },
             )
-        self.received_requests.append((request, await request.read()))
+        if self.keeps_bodies:
+            self.received_requests.append((request, await request.read()))
+        else:
+            self.received_requests.append((request, await count_body(request)))
         if self.response_handler is not None:
             return await self.response_handler(request)
         try:
@@ -384,6 +389,13 @@
         return self.make_response(request)
 
 
+async def count_body(request):
+    """Read the body of a request; return its size."""
+    return sum(
+        [len(chunk) async for chunk in request.content.iter_any()],
+    )
+
+
 def make_settings(vm, target, store, failure_domain='z1', first_start=True):
     """Return the settings of the node on the VM of a target."""
     ports = free_ports(4)
@@ -407,7 +419,9 @@
     )
 
 
-def make_plan_text(version, routes, organisations=()):
+def make_plan_text(
+    version, routes, organisations=(), body_limit_bytes=1_000_000
+):
     """Return the text of a traffic plan as the store holds it.
 
     Args:
@@ -416,6 +430,7 @@
             of the route.  The destination is a service, or pairs of service
             and weight.
         organisations: Tuples of name, API key and additional fields.
+        body_limit_bytes: Limit on request bodies.
     """
     resources = [
         {
@@ -423,7 +438,7 @@
             'metadata': {},
             'spec': {
                 'max_header_bytes': 16384,
-                'max_body_bytes': 1000000,
+                'max_body_bytes': body_limit_bytes,
                 'header_timeout_ms': 3000,
                 'idle_timeout_ms': 15000,
             },
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -129,6 +129,14 @@
                 stderr=log,
             )
 
+    def memory_mb(self):
+        """Return the anonymous memory of the process."""
+        status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
+        for line in status.splitlines():
+            if line.startswith('RssAnon:'):
+                return int(line.split()[1]) / 1000
+        return 0
+
     def is_running(self):
         """Return whether the process has not ended."""
         return self._process is not None and self._process.returncode is None
@@ -179,11 +187,16 @@
         self._session = None
         self._announcing = None
 
-    async def start(self, routes=ROUTES, organisations=ORGANISATIONS):
+    async def start(
+        self, routes=ROUTES, organisations=ORGANISATIONS, **plan_options
+    ):
         """Start the fleet; wait until each node knows the others."""
         self._session = aiohttp.ClientSession()
         await self.store.start()
-        self.store.put('op/config', make_plan_text(5, routes, organisations))
+        self.store.put(
+            'op/config',
+            make_plan_text(5, routes, organisations, **plan_options),
+        )
         for target in self.targets:
             await target.start()
         for node in self.nodes:
