--- a/packages/node/src/chivelead_node/_internal/proxy/call_runner.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/call_runner.py
@@ -1,7 +1,9 @@
 """Calls of an ingress: their ends by time, or because their callers left."""
 
 import asyncio
+from typing import cast
 
+from aiohttp.web_protocol import RequestHandler
 from chivelead_protocol import CallReply, Outcome, loop_ms
 
 from chivelead_node._internal import calls
@@ -45,9 +47,10 @@
             self._withdraw_later(call)
 
     async def run(
-        self, call: calls.Call, connection: ServerConnection
+        self, call: calls.Call, protocol: RequestHandler
     ) -> CallReply:
-        """Run a call and return the reply."""
+        """Run a call for a connection and return the reply."""
+        connection = cast('ServerConnection', protocol)
         try:
             if call.idempotent:
                 return await self._run_cancellable(call, connection)
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -25,9 +25,6 @@
 from chivelead_protocol._internal.document_messages import (
     DocumentText as DocumentText,
 )
-from chivelead_protocol._internal.exceptions import (
-    AuthenticationError as AuthenticationError,
-)
 from chivelead_protocol._internal.exceptions import (
     ChiveleadError as ChiveleadError,
 )
@@ -49,6 +46,9 @@
 from chivelead_protocol._internal.exceptions import (
     LinkNotOpenError as LinkNotOpenError,
 )
+from chivelead_protocol._internal.exceptions import (
+    NoRoomError as NoRoomError,
+)
 from chivelead_protocol._internal.exceptions import (
     ProtocolError as ProtocolError,
 )
@@ -121,6 +121,9 @@
 from chivelead_protocol._internal.guard_messages import (
     GuardHandover as GuardHandover,
 )
+from chivelead_protocol._internal.large_frames import (
+    LARGE_FRAME_BYTES as LARGE_FRAME_BYTES,
+)
 from chivelead_protocol._internal.link import PeerLink as PeerLink
 from chivelead_protocol._internal.link_server import PeerServer as PeerServer
 from chivelead_protocol._internal.membership_messages import (
@@ -156,9 +159,6 @@
 from chivelead_protocol._internal.messages import (
     Headers as Headers,
 )
-from chivelead_protocol._internal.messages import (
-    Hello as Hello,
-)
 from chivelead_protocol._internal.messages import (
     Outcome as Outcome,
 )
--- a/packages/protocol/tests/unit/test_link.py
+++ b/packages/protocol/tests/unit/test_link.py
@@ -7,7 +7,6 @@
 import uvloop
 from chivelead_protocol import (
     Acknowledged,
-    AuthenticationError,
     CallReply,
     EncodingError,
     HybridClock,
@@ -20,6 +19,7 @@
     now_ms,
 )
 from chivelead_protocol._internal import channel
+from chivelead_protocol._internal.exceptions import AuthenticationError
 
 HOST = '127.0.0.1'
 
