--- a/conftest.py
+++ b/conftest.py
@@ -22,7 +22,8 @@
     }
 
 
-def pytest_sessionstart():
+@pytest.fixture(scope='session', autouse=True)
+def _unicode_tables():
     """Build the Unicode tables that hypothesis makes when it first draws text.
 
     They take seconds on a busy machine, for which the health check of the first
