--- a/packages/node/src/chivelead_node/_internal/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -204,6 +204,7 @@
             self._find_trailers(queued)
             if len(self._messages) > queued:
                 self._last_body = self._messages[-1][1]
+                self._has_answered = False
                 in_head = False
             self._limit_head(len(piece) if in_head else 0)
 
--- a/tests/functional/test_platform_answers.py
+++ b/tests/functional/test_platform_answers.py
@@ -54,6 +54,17 @@
         assert await read_all(client, 1) == [200]
 
 
+# Guards against the same on a connection that has carried an answer before.
+async def test_half_closed_connection_is_kept_for_a_later_request(fleet):
+    client = await fleet.connect(0)
+    await client.send_request('POST', '/book/x')
+    assert (await client.read_response())[0] == 200
+    fleet.targets[1].response_delay_s = 0.5
+    await client.send_request('POST', '/book/x')
+    client.close_sending_half()
+    assert await read_all(client, 1) == [200]
+
+
 # Guards against work that goes on for callers that have gone, which look the
 # same until something is sent to them.
 async def test_long_idempotent_request_ends_soon_after_the_sending_half(fleet):
