--- a/tests/lib/fake_platform.py
+++ b/tests/lib/fake_platform.py
@@ -82,6 +82,7 @@
         self._compacted_revision = 0
         self.leases = {}
         self.era = 1
+        self._reply_override = None
         self._revision = 1
         self._last_lease_id = 0
         self._copies = {}
@@ -108,6 +109,16 @@
             if random.random() < share:
                 self._silent_connections.add(connection)
 
+    def override_replies(self, reply):
+        """Let a function write to the connection of each call instead."""
+        self._reply_override = reply
+
+    def end_watches(self):
+        """Cut off the watches that wait now."""
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     def come_back_as_of(self, revision):
         """Lose all changes after a revision, and give those out again."""
         copied = copy.deepcopy(self._copies[revision])
@@ -176,6 +187,9 @@
 
     async def _handle_request(self, request):
         await self._wait_if_silent(request)
+        if self._reply_override is not None:
+            await self._reply_override(request)
+            return web.Response(status=503)
         response = await self._dispatch_request(request)
         await self._wait_if_silent(request)
         if self.era is not None:
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -22,7 +22,7 @@
 )
 from lib.platform_fleet import ORGANISATIONS, ROUTES, wait_until
 
-_METRICS_PORT = 9464
+METRICS_PORT = 9464
 _START_TIMEOUT_S = 20
 # The state of a target is known to all nodes by then.
 _REPORTS_S = 1.5
@@ -102,6 +102,11 @@
         }
         self._process = None
 
+    @property
+    def peer_port(self):
+        """Return the port for the links of other nodes."""
+        return self._fields['peer_port']
+
     @property
     def pid(self):
         """Return the process ID."""
@@ -173,7 +178,8 @@
 
     Args:
         services: Service of the target on each VM.
-        make_target: Makes a target of a service and the index of its VM.
+        make_target: Makes a target of a service and the index of its VM; may
+            return None for a usual one.
         failure_domains: Failure domains that the VMs are put in by turns.
         make_store_proxy: Makes a proxy of a port, between nodes and store.
     """
@@ -191,7 +197,7 @@
             self.store.port
         )
         self.targets = [
-            make_target(service, index) if make_target else FakeTarget(service)
+            (make_target and make_target(service, index)) or FakeTarget(service)
             for index, service in enumerate(services)
         ]
         self._folder = tempfile.TemporaryDirectory()
@@ -265,7 +271,7 @@
     async def level(self, node, name):
         """Return a gauge of a node; zero if it cannot be read."""
         try:
-            text = await self._get(node.ip, _METRICS_PORT, '/metrics')
+            text = await self._get(node.ip, METRICS_PORT, '/metrics')
         except aiohttp.ClientError:
             return 0
         prefix = f'chivelead_level{{name="{name}"}} '
