--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -11,10 +11,14 @@
 import re
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
-from chivelead_protocol import LARGE_FRAME_BYTES, Headers, loop_ms
+from chivelead_protocol import (
+    LARGE_FRAME_BYTES,
+    BoundedResponseHandler,
+    Headers,
+    loop_ms,
+)
 
 from chivelead_node._internal.chunked_ends import ReceivedBytes
 
@@ -28,8 +32,6 @@
 _IDLE_MARGIN_MS = 1000.0
 _MAX_HEAD_LINE_BYTES = 65_536
 _MAX_HEADERS = 4096
-# A target in trouble may send a head, or informational responses, without end.
-_MAX_HEAD_BYTES = 262_144
 _MAX_INFORMATIONAL_RESPONSES = 8
 # A request that is abandoned earlier says nothing about its connection.
 _MIN_SILENCE_MS = 250.0
@@ -40,7 +42,7 @@
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH', 'DELETE'))
 
 
-class TargetConnection(ResponseHandler):
+class TargetConnection(BoundedResponseHandler):
     """A connection that reports responses that are cut off as errors.
 
     For a body without a length, aiohttp treats the end of the connection as
@@ -55,27 +57,18 @@
         self.last_active_ms = 0.0
         self.idle_since_ms = 0.0
         self.idle_timeout_ms = _DEFAULT_IDLE_TIMEOUT_MS
-        self._head_bytes = 0
         self._is_idle = False
         self._received = ReceivedBytes()
         self._is_chunked = False
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
-        """Parse received bytes; fail if they are no response for too long."""
+        """Parse received bytes, which belong to no request if it is idle."""
         self.last_active_ms = loop_ms()
-        if self._is_idle:
-            self.force_close()
+        if self._is_idle and data:
+            self.abort()
+            return
         self._received.append(data)
         super().data_received(data)
-        if self._payload is not None:
-            self._head_bytes = 0
-            return
-        self._head_bytes += len(data)
-        if self._head_bytes > _MAX_HEAD_BYTES:
-            self.set_exception(
-                aiohttp.ClientPayloadError('the response head has no end')
-            )
-            self.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that is still being read if the connection broke."""
@@ -115,7 +108,7 @@
             raise aiohttp.ClientConnectionError(
                 'connection was closed before the request'
             )
-        self._head_bytes = 0
+        self.framing_limit.reset()
         self._is_idle = False
         self.last_active_ms = loop_ms()
         if len(body) <= LARGE_FRAME_BYTES:
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -7,7 +7,13 @@
 
 import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
-from chivelead_protocol import Headers, TargetState, now_ms
+from chivelead_protocol import (
+    Headers,
+    TargetState,
+    describe_error,
+    now_ms,
+    release_frames,
+)
 
 from chivelead_node._internal.body_memory import (
     BodyKind,
@@ -191,13 +197,19 @@
             head = encode_head(method, path, headers, len(body))
             connection = await pool.acquire(has_body=method != 'HEAD')
         except (OSError, ValueError) as error:
-            raise TargetFailedError(str(error), may_have_run=False) from error
+            raise TargetFailedError(
+                describe_error(error), may_have_run=False
+            ) from error
         try:
             connection.write(head, body)
             response = await self._receive(connection, is_own_response)
         except _RESPONSE_ERRORS as error:
             connection.abort()
-            raise TargetFailedError(repr(error), may_have_run=True) from error
+            # The body keeps the error.
+            release_frames(error)
+            raise TargetFailedError(
+                describe_error(error), may_have_run=True
+            ) from error
         except BaseException:
             # The response to the abandoned request may still arrive, so the
             # connection cannot be reused.
--- a/packages/node/tests/unit/test_failed_exchanges.py
+++ b/packages/node/tests/unit/test_failed_exchanges.py
@@ -285,6 +285,7 @@
     for _ in range(30):
         connection.data_received(_REQUESTS[form])
     assert len(connection._messages) <= 1
+    await asyncio.sleep(0)
     connection.connection_lost(None)
 
 
