--- a/packages/protocol/src/chivelead_protocol/_internal/channel.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -18,6 +18,7 @@
 
 from chivelead_protocol._internal.clock import now_ms
 from chivelead_protocol._internal.delivery import undelivered_bytes
+from chivelead_protocol._internal.errors_without_frames import release_frames
 from chivelead_protocol._internal.exceptions import (
     EncodingError,
     LinkLostError,
@@ -36,6 +37,8 @@
 # which nothing else was sent.  It is shorter than the time after which a peer
 # with requests in flight takes the link for dead.
 _PROGRESS_PERIOD_MS = 250
+# Larger than any handshake of a peer.
+_MAX_HANDSHAKE_BYTES = 65_536
 
 FrameHandler = Callable[[bytes], object]
 LargeFrameHandler = Callable[[bytearray, FrameRoom], None]
@@ -73,6 +76,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._writable: asyncio.Future[None] | None = None
+        self._handshake_bytes = 0
         self._splitter = FrameSplitter(
             MAX_FRAME_BYTES,
             self._feed_protocol,
@@ -110,7 +114,7 @@
         )
         self.last_received_ms = received_ms
         if self._protocol.state is not State.OPEN:
-            self._feed_protocol(data)
+            self._feed_handshake(data)
             return
         self._splitter.feed(data)
         if self._splitter.receives_large_frame:
@@ -125,6 +129,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail a pending handshake and call ``on_close``."""
         self._transport = None
+        release_frames(self._protocol.handshake_exc)
+        release_frames(self._protocol.parser_exc)
         self._splitter.close()
         self.resume_writing()
         if not self._opened.done():
@@ -223,6 +229,13 @@
         self.sent_bytes += len(piece)
         self._transport.write(piece)
 
+    def _feed_handshake(self, received: bytes) -> None:
+        self._handshake_bytes += len(received)
+        if self._handshake_bytes > _MAX_HANDSHAKE_BYTES:
+            self.abort()
+            return
+        self._feed_protocol(received)
+
     def _feed_protocol(self, received: bytes) -> None:
         self._protocol.receive_data(received)
         if not self._handle_events():
