--- a/packages/node/src/chivelead_node/_internal/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -6,8 +6,10 @@
 from typing import Any, cast
 
 from aiohttp import StreamReader, web
-from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from chivelead_protocol import FramingLimit, release_frames, shorten
 
 from chivelead_node._internal.chunked_ends import ReceivedBytes
 from chivelead_node._internal.events import EventLog
@@ -20,12 +22,14 @@
 # can't be told from one that only closes its sending half and still reads.
 INPUT_END_GRACE_MS = 250.0
 _MS_PER_S = 1000
+_BAD_REQUEST = 400
 _HEADERS_TOO_LARGE = 431
 _HEAD_REFUSAL = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
 )
-_MAX_HEAD_BYTES = 262_144
+# A client that sends more after its request was refused may never stop.
+_MAX_IGNORED_BYTES = 1_048_576
 # Message of the error of aiohttp, which has no type of its own.
 _TOO_MANY_HEADERS = 'Too many headers received'
 
@@ -44,6 +48,7 @@
         request_id_header: See the arguments.
         closing: Whether each connection is closed after the answers that are
             due on it.
+        refused_count: Connections that were refused for what they sent.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
     ) -> None:
         """Create an empty set."""
         self.closing = False
+        self.refused_count = 0
         self._events = events
         self.request_id_header = request_id_header
         self._on_input_end = on_input_end
@@ -71,6 +77,17 @@
         if connection.has_unsent_answer:
             self._record_cut(connection, repr(error) if error else 'closed')
 
+    def record_refused(self, connection: 'ServerConnection', why: str) -> None:
+        """Log and count a connection on which something else than HTTP came."""
+        self.refused_count += 1
+        self._events.record_decision(
+            'failed',
+            'connection-refused',
+            connection.last_request_id,
+            client=connection.client,
+            why=why,
+        )
+
     def record_cut_answers(self) -> None:
         """Log the answers that the end of the process cuts off."""
         for connection in self._connections:
@@ -142,7 +159,10 @@
         self._chunked_body: StreamReader | None = None
         # Nothing more is read on this connection.
         self._stopped_reading = False
-        self._head_bytes = 0
+        # What was received is no request.
+        self._has_refused = False
+        self._ignored_bytes = 0
+        self._framing_limit = FramingLimit()
 
     @property
     def client(self) -> str:
@@ -196,17 +216,23 @@
             transport = self._open_transport
             is_lingering = transport is not None and transport.is_lingering
             if is_lingering or self._stopped_reading:
+                self._ignore(len(piece))
                 return
             self._received.append(piece)
             queued = len(self._messages)
-            in_head = self._last_body is None or self._last_body.is_eof()
+            body = self._last_body
+            known_bytes = 0 if body is None else body.total_bytes
             super().data_received(piece)
-            self._find_trailers(queued)
             if len(self._messages) > queued:
-                self._last_body = self._messages[-1][1]
                 self._has_answered = False
-                in_head = False
-            self._limit_head(len(piece) if in_head else 0)
+                if self._refuse_invalid():
+                    return
+                self._last_body = self._messages[-1][1]
+                self._framing_limit.reset()
+            self._find_trailers(queued)
+            body_bytes = 0 if body is None else body.total_bytes - known_bytes
+            if not self._framing_limit.record(len(piece), body_bytes):
+                self._refuse_framing()
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """Handle the end of what the client sends.
@@ -257,9 +283,13 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the response to a request that failed or is not valid."""
-        if isinstance(exc, LineTooLong) or message == _TOO_MANY_HEADERS:
-            status = _HEADERS_TOO_LARGE
-        return super().handle_error(request, status, exc, message)
+        if isinstance(exc, web.RequestPayloadError):
+            status, message = _BAD_REQUEST, 'the body of the request is invalid'
+        elif not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        response = web.Response(status=status, text=message)
+        response.force_close()
+        return response
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
@@ -289,23 +319,52 @@
                 return
             self._chunked_body = None
 
-    def _limit_head(self, received_bytes: int) -> None:
-        """Refuse a request whose head has many large fields without end.
+    def _refuse_invalid(self) -> bool:
+        """Stop reading if what was received is no request.
 
-        Args:
-            received_bytes: Bytes just received if they belong to a head.
+        Returns:
+            Whether it is none; the last message is its error then.
         """
-        if received_bytes:
-            self._head_bytes += received_bytes
-        else:
-            self._head_bytes = 0
-        if self._head_bytes <= _MAX_HEAD_BYTES:
-            return
-        if self.has_unanswered_request:
-            self._stop_reading(0)
-        elif self.transport is not None:
+        invalid = self._messages[-1][0]
+        if not isinstance(invalid, _ErrInfo):
+            return False
+        status = invalid.status
+        is_too_large = isinstance(invalid.exc, LineTooLong)
+        if is_too_large or invalid.message == _TOO_MANY_HEADERS:
+            status = _HEADERS_TOO_LARGE
+        # The error holds what was received, and this connection the error.
+        release_frames(invalid.exc)
+        message = shorten(invalid.message)
+        error = HttpProcessingError(code=status, message=message)
+        self._messages[-1] = (_ErrInfo(status, error, message), EMPTY_PAYLOAD)
+        self._stop_receiving(message)
+        return True
+
+    def _refuse_framing(self) -> None:
+        """Refuse a request whose head, chunk size or trailers have no end."""
+        body = self._last_body
+        if body is not None and not body.is_eof():
+            body.set_exception(
+                web.RequestPayloadError('the framing of the body has no end')
+            )
+        elif not self.has_unanswered_request and self.transport is not None:
             self.transport.write(_HEAD_REFUSAL)
             self.force_close()
+        self._stop_receiving('framing has no end')
+
+    def _stop_receiving(self, why: str) -> None:
+        """Ignore all that follows and, until the answer, do not read it."""
+        self._has_refused = True
+        self._stopped_reading = True
+        self._connections.record_refused(self, why)
+        self._pause_transport_reading()
+
+    def _ignore(self, received_bytes: int) -> None:
+        """Reset the connection if a client that was refused sends on."""
+        self._ignored_bytes += received_bytes
+        is_over = self._ignored_bytes > _MAX_IGNORED_BYTES
+        if is_over and self._has_refused and self._open_transport is not None:
+            self._open_transport.abort()
 
     def _stop_reading(self, unread: int) -> None:
         """Close the connection after the responses to some of the requests."""
