--- a/packages/node/src/chivelead_node/_internal/proxy/probe.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/probe.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 from chivelead_config import HeaderNames, TargetAnnouncement
-from chivelead_protocol import TargetState
+from chivelead_protocol import TargetState, bounded_connector, describe_error
 
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.proxy.own_target_notices import (
@@ -63,8 +63,7 @@
 
     async def run(self) -> None:
         """Send probes until a target is known."""
-        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with _open_session() as session:
             while not self._registration.target_id:
                 service = self._plan_feed.current.services.get(
                     self._own_service
@@ -79,8 +78,7 @@
         Returns:
             Whether the target answered a probe.
         """
-        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with _open_session() as session:
             while self._registration.target_id == target_id:
                 await asyncio.sleep(_PROBE_PERIOD_S)
                 service = self._plan_feed.current.services.get(
@@ -125,7 +123,7 @@
                     return response.headers
                 why = f'status {response.status}'
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            why = str(error) or 'timeout'
+            why = describe_error(error)
         self._events.record_node_event('probe-failed', why=why)
         return None
 
@@ -145,3 +143,10 @@
             state=TargetState.ready,
             warmup_left_ms=0,
         )
+
+
+def _open_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=bounded_connector(idle_timeout_s=_PROBE_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S),
+    )
