--- a/packages/coordination/src/chivelead_coordination/_internal/http_store.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/http_store.py
@@ -1,5 +1,6 @@
 """Client of the key-value store, over HTTP and JSON."""
 
+import json
 from typing import Any
 
 import aiohttp
@@ -8,6 +9,7 @@
     StoreTimeoutError,
     StoreUnavailableError,
 )
+from chivelead_protocol.bounds import describe_error, read_limited, shorten
 
 from chivelead_coordination._internal.store import Store, StoredValue, Write
 from chivelead_coordination._internal.store_connections import StoreConnections
@@ -16,6 +18,8 @@
 _CONFLICT_STATUS = 409
 _OK_STATUS = 200
 _WATCH_GRACE_MS = 500
+# All documents of a fleet come in one response.
+_MAX_RESPONSE_BYTES = 16_777_216
 
 
 class HttpStore(Store):
@@ -109,24 +113,27 @@
                 json=arguments,
                 timeout=timeout,
             ) as response:
+                text = await read_limited(response, _MAX_RESPONSE_BYTES)
                 if response.status == _CONFLICT_STATUS:
-                    raise StoreConflictError(operation, await response.text())
+                    raise StoreConflictError(
+                        operation, shorten(text.decode(errors='replace'))
+                    )
                 if response.status != _OK_STATUS:
                     raise StoreUnavailableError(
                         operation,
                         f'HTTP status {response.status}',
                     )
-                return await response.json()
+                return json.loads(text)
         except TimeoutError as error:
             raise StoreTimeoutError(
                 f'{operation} at the store',
                 f'no response within {limit_ms} ms',
                 'a write may have taken effect',
             ) from error
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StoreUnavailableError(
                 f'{operation} at the store',
-                str(error) or type(error).__name__,
+                describe_error(error),
                 'a write may have taken effect',
             ) from error
 
--- a/packages/coordination/src/chivelead_coordination/_internal/store_connections.py
+++ b/packages/coordination/src/chivelead_coordination/_internal/store_connections.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import aiohttp
+from chivelead_protocol.bounds import bounded_connector
 
 # A connection that has gone silent looks like an idle one.  Calls that follow
 # one another share a connection; a later call opens its own.
@@ -18,9 +19,7 @@
     def __init__(self) -> None:
         self.call_count = 0
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                use_dns_cache=False, keepalive_timeout=MAX_IDLE_MS / _MS_PER_S
-            ),
+            connector=bounded_connector(idle_timeout_s=MAX_IDLE_MS / _MS_PER_S),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -154,6 +154,7 @@
         _STORE_TIMEOUT_MS,
         era,
         PlanBudget(settings.bounds.plan_ms).response_ms,
+        settings.store.value_limit_bytes,
     )
     quota = FleetQuota(first_start=settings.first_start)
     admission = Admission(
--- a/packages/node/src/chivelead_node/_internal/proxy/probe.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/probe.py
@@ -5,7 +5,8 @@
 
 import aiohttp
 from chivelead_config import HeaderNames, TargetAnnouncement
-from chivelead_protocol import TargetState, bounded_connector, describe_error
+from chivelead_protocol import TargetState
+from chivelead_protocol.bounds import bounded_connector, describe_error
 
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.proxy.own_target_notices import (
--- a/packages/node/src/chivelead_node/_internal/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -9,7 +9,7 @@
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
-from chivelead_protocol import FramingLimit, release_frames, shorten
+from chivelead_protocol.bounds import FramingLimit, release_frames, shorten
 
 from chivelead_node._internal.chunked_ends import ReceivedBytes
 from chivelead_node._internal.events import EventLog
@@ -223,16 +223,8 @@
             body = self._last_body
             known_bytes = 0 if body is None else body.total_bytes
             super().data_received(piece)
-            if len(self._messages) > queued:
-                self._has_answered = False
-                if self._refuse_invalid():
-                    return
-                self._last_body = self._messages[-1][1]
-                self._framing_limit.reset()
-            self._find_trailers(queued)
             body_bytes = 0 if body is None else body.total_bytes - known_bytes
-            if not self._framing_limit.record(len(piece), body_bytes):
-                self._refuse_framing()
+            self._handle_parsed(queued, len(piece), body_bytes)
 
     def eof_received(self) -> bool:  # type: ignore[override]
         """Handle the end of what the client sends.
@@ -299,6 +291,27 @@
             self._open_transport = None
         super().connection_lost(exc)
 
+    def _handle_parsed(
+        self, queued: int, received_bytes: int, body_bytes: int
+    ) -> None:
+        """Handle what the parser has found in received bytes.
+
+        Args:
+            queued: Number of requests in the queue before.
+            received_bytes: Number of bytes received.
+            body_bytes: Number of them that belong to the body that was read.
+        """
+        if len(self._messages) > queued:
+            self._has_answered = False
+            if self._refuse_invalid():
+                return
+            self._last_body = self._messages[-1][1]
+            self._framing_limit.reset()
+            received_bytes = 0
+        self._find_trailers(queued)
+        if not self._framing_limit.record(received_bytes, body_bytes):
+            self._refuse_framing()
+
     def _find_trailers(self, queued: int) -> None:
         """Stop reading if the bytes just parsed may contain trailers.
 
--- a/packages/node/src/chivelead_node/_internal/target_connections.py
+++ b/packages/node/src/chivelead_node/_internal/target_connections.py
@@ -13,12 +13,8 @@
 import aiohttp
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
-from chivelead_protocol import (
-    LARGE_FRAME_BYTES,
-    BoundedResponseHandler,
-    Headers,
-    loop_ms,
-)
+from chivelead_protocol import LARGE_FRAME_BYTES, Headers, loop_ms
+from chivelead_protocol.bounds import BoundedResponseHandler
 
 from chivelead_node._internal.chunked_ends import ReceivedBytes
 
--- a/packages/node/src/chivelead_node/_internal/targets.py
+++ b/packages/node/src/chivelead_node/_internal/targets.py
@@ -7,13 +7,8 @@
 
 import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
-from chivelead_protocol import (
-    Headers,
-    TargetState,
-    describe_error,
-    now_ms,
-    release_frames,
-)
+from chivelead_protocol import Headers, TargetState, now_ms
+from chivelead_protocol.bounds import describe_error, release_frames
 
 from chivelead_node._internal.body_memory import (
     BodyKind,
--- a/packages/platform/src/chivelead_platform/_internal/process_settings.py
+++ b/packages/platform/src/chivelead_platform/_internal/process_settings.py
@@ -43,12 +43,22 @@
         return cls(host, int(port))
 
 
+_DEFAULT_VALUE_LIMIT_BYTES = 1_048_576
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreSettings:
-    """Address of the key-value store, and the shortest lease it grants."""
+    """The key-value store.
+
+    Attributes:
+        address: Address on which it listens.
+        lease_min_ms: The shortest lease that it grants.
+        value_limit_bytes: The largest value that it holds.
+    """
 
     address: Address
     lease_min_ms: int
+    value_limit_bytes: int = _DEFAULT_VALUE_LIMIT_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
@@ -194,6 +204,9 @@
     return StoreSettings(
         address=Address.parse(store.string('address')),
         lease_min_ms=store.count('ttl_min_ms', 1000),
+        value_limit_bytes=store.count(
+            'value_bytes', _DEFAULT_VALUE_LIMIT_BYTES
+        ),
     )
 
 
--- a/packages/platform/src/chivelead_platform/_internal/store.py
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -28,6 +28,12 @@
     StoreTimeoutError,
     StoreUnavailableError,
 )
+from chivelead_protocol.bounds import (
+    BodyTooLargeError,
+    describe_error,
+    read_limited,
+    shorten,
+)
 
 from chivelead_platform._internal.process_settings import Address
 from chivelead_platform._internal.values import FieldReader
@@ -44,10 +50,21 @@
 _PRECONDITION_FAILED = 412
 _FORBIDDEN = 403
 _WATCH_MARGIN_MS = 1000
+_DEFAULT_VALUE_LIMIT_BYTES = 1_048_576
+# The store puts values of about this size into one response.
+_PAGE_BYTES = 1_048_576
+# Values are encoded as base64, and have keys and revisions beside them.
+_ENCODED_RATIO = 2
+# The entries of several times the fleet of the target.
+_MAX_LISTING_BYTES = 16_777_216
 _Query = dict[str, str]
 _Decoded = TypeVar('_Decoded')
 
 
+class _ResponseTooLargeError(StoreUnavailableError):
+    """A response of the store is larger than any that it should send."""
+
+
 class PlatformStore(WatchableStore):
     """Access the store over HTTP with JSON bodies.
 
@@ -57,6 +74,7 @@
         era: Receives the era of the store that each response names.
         watch_margin_ms: Time for the response to a watch to arrive after its
             wait has ended.
+        value_limit_bytes: The largest value that the store holds.
     """
 
     def __init__(
@@ -65,12 +83,16 @@
         timeout_ms: float,
         era: StoreEra,
         watch_margin_ms: float = _WATCH_MARGIN_MS,
+        value_limit_bytes: int = _DEFAULT_VALUE_LIMIT_BYTES,
     ) -> None:
         """Initialise the client; ``start`` allows calls."""
         self._era = era
         self._url = f'http://{address.host}:{address.port}/api'
         self._timeout_ms = timeout_ms
         self._watch_margin_ms = watch_margin_ms
+        self._response_limit_bytes = _ENCODED_RATIO * max(
+            value_limit_bytes, _PAGE_BYTES
+        )
         self._connections = StoreConnections()
 
     async def start(self) -> None:
@@ -98,6 +120,7 @@
     ) -> Listing:
         """Return all entries with a prefix, and a revision to watch from."""
         entries: list[StoredValue] = []
+        size_bytes = 0
         revision = 0
         options = {'stale_ok': '1'} if may_be_stale else {}
         query = {'prefix': prefix, **options}
@@ -107,9 +130,15 @@
             # The revision of the first page is kept, as a watch that starts
             # there misses no change made while later pages were read.
             revision = revision or _decode(_decode_store_revision, page)
-            entries.extend(found)
             if not found or not page.boolean('has_more'):
-                return Listing(tuple(entries), revision)
+                return Listing((*entries, *found), revision)
+            size_bytes += sum(len(entry.text) for entry in found)
+            is_next = not entries or entries[-1].key < found[0].key
+            if size_bytes > _MAX_LISTING_BYTES or not is_next:
+                raise StoreUnavailableError(
+                    'kv-range at the store', 'the pages have no end'
+                )
+            entries.extend(found)
             query = {'prefix': prefix, 'after': found[-1].key, **options}
 
     async def watch_prefix(
@@ -125,12 +154,16 @@
             'after': str(after_revision),
             'wait_ms': str(wait_ms),
         }
-        reader = await self._call(
-            'GET',
-            'kv-watch',
-            query=query,
-            timeout_ms=wait_ms + self._watch_margin_ms,
-        )
+        try:
+            reader = await self._call(
+                'GET',
+                'kv-watch',
+                query=query,
+                timeout_ms=wait_ms + self._watch_margin_ms,
+            )
+        except _ResponseTooLargeError as error:
+            # The pages of a listing are smaller than this history may be.
+            raise HistoryLostError(error.operation, error.cause) from error
         return _decode(_decode_changes, reader)
 
     async def watch(
@@ -222,7 +255,7 @@
                 headers={'Content-Type': 'application/json'},
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                text = await response.read()
+                text = await read_limited(response, self._response_limit_bytes)
                 status = response.status
                 era_header = response.headers.get(_ERA_HEADER)
         except TimeoutError as error:
@@ -231,10 +264,16 @@
                 f'no response within {timeout_s} s',
                 'a write may have taken effect',
             ) from error
+        except BodyTooLargeError as error:
+            raise _ResponseTooLargeError(
+                f'{operation} at the store',
+                str(error),
+                'a write may have taken effect',
+            ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(
                 f'{operation} at the store',
-                str(error) or type(error).__name__,
+                describe_error(error),
                 'a write may have taken effect',
             ) from error
         self._observe_era(operation, era_header)
@@ -286,7 +325,7 @@
         return FieldReader(operation, orjson.loads(text or b'{}'))
     except (orjson.JSONDecodeError, ConfigurationError) as error:
         raise StoreUnavailableError(
-            operation, f'invalid response: {error}'
+            operation, f'invalid response: {shorten(str(error))}'
         ) from error
 
 
@@ -298,7 +337,7 @@
         return decode(reader)
     except (ConfigurationError, binascii.Error, UnicodeDecodeError) as error:
         raise StoreUnavailableError(
-            'decode', f'invalid response: {error}'
+            'decode', f'invalid response: {shorten(str(error))}'
         ) from error
 
 
--- a/packages/protocol/src/chivelead_protocol/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/__init__.py
@@ -3,15 +3,6 @@
 from chivelead_protocol._internal import (
     target_end_messages as target_end_messages,
 )
-from chivelead_protocol._internal.bounded_responses import (
-    BoundedResponseHandler as BoundedResponseHandler,
-)
-from chivelead_protocol._internal.bounded_responses import (
-    bounded_connector as bounded_connector,
-)
-from chivelead_protocol._internal.bounded_responses import (
-    read_limited as read_limited,
-)
 from chivelead_protocol._internal.clock import HybridClock as HybridClock
 from chivelead_protocol._internal.clock import format_stamp as format_stamp
 from chivelead_protocol._internal.clock import loop_ms as loop_ms
@@ -34,15 +25,6 @@
 from chivelead_protocol._internal.document_messages import (
     DocumentText as DocumentText,
 )
-from chivelead_protocol._internal.errors_without_frames import (
-    describe_error as describe_error,
-)
-from chivelead_protocol._internal.errors_without_frames import (
-    release_frames as release_frames,
-)
-from chivelead_protocol._internal.errors_without_frames import (
-    shorten as shorten,
-)
 from chivelead_protocol._internal.exceptions import (
     ChiveleadError as ChiveleadError,
 )
@@ -124,9 +106,6 @@
 from chivelead_protocol._internal.fleet_messages import (
     TargetLoad as TargetLoad,
 )
-from chivelead_protocol._internal.framing_limit import (
-    FramingLimit as FramingLimit,
-)
 from chivelead_protocol._internal.guard_messages import (
     GuardBegin as GuardBegin,
 )
--- a/packages/protocol/src/chivelead_protocol/_internal/bounded_responses.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/bounded_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -21,6 +22,10 @@
 _FIRST_FINAL_STATUS = 200
 
 
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """The body of a response is larger than its limit."""
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A connection that a server cannot fill with bytes that nobody reads.
 
@@ -49,7 +54,9 @@
             self.refuse('there are too many responses')
 
     def feed_data(
-        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+        self,
+        data: tuple[RawResponseMessage, StreamReader],  # noqa: WPS110
+        size: int = 0,
     ) -> None:
         """Add the head of a response and its body, which may be incomplete."""
         super().feed_data(data, size)
@@ -98,10 +105,11 @@
     connector = aiohttp.TCPConnector(
         use_dns_cache=False, keepalive_timeout=idle_timeout_s
     )
-    # There is no public way to choose the handler of the connections.
-    connector._factory = functools.partial(  # type: ignore[assignment] # noqa: SLF001
+    make_connection: Any = functools.partial(
         BoundedResponseHandler, loop=asyncio.get_running_loop()
     )
+    # There is no public way to choose the handler of the connections.
+    connector._factory = make_connection  # noqa: SLF001
     return connector
 
 
@@ -111,7 +119,7 @@
     """Return the body of a response.
 
     Raises:
-        ClientPayloadError: The body is larger than the limit.
+        BodyTooLargeError: The body is larger than the limit.
     """
     if (response.content_length or 0) <= limit_bytes:
         chunks = []
@@ -124,6 +132,4 @@
         else:
             return b''.join(chunks)
     response.close()
-    raise aiohttp.ClientPayloadError(
-        f'the body is larger than {limit_bytes} bytes'
-    )
+    raise BodyTooLargeError(f'the body is larger than {limit_bytes} bytes')
