--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -27,6 +27,7 @@
 )
 
 from chivelead_node._internal.log_writer import LogWriter
+from chivelead_node._internal.proxy.allocator import resident_mb
 from chivelead_node._internal.proxy.components import (
     CONTROL_API_FORMAT,
     LINK_SECRET,
@@ -324,6 +325,12 @@
             components.metrics.gauge(
                 'unanswered', self._caller_connections.count_unanswered()
             )
+            components.metrics.gauge(
+                'refused_connections',
+                self._caller_connections.refused_count
+                + self._control_connections.refused_count,
+            )
+            components.metrics.gauge('memory_mb', resident_mb())
             components.metrics.gauge(
                 'plan', components.plan_feed.current.version
             )
