Tests: withdrawal of queued requests, one fleet for each node

Traced by the responses at that moment: the second round of the test came while the overload control still remembered the first, in which two thirds of the requests were refused; all 12 requests were answered with 503 ("orders is overloaded", "no target of orders can be reached"), so that none reached the target. Each round now has a fleet of its own, with the same checks, and the wait has a limit.

--- a/tests/functional/test_platform_requests.py
+++ b/tests/functional/test_platform_requests.py
@@ -107,34 +107,34 @@
 
 # Guards against requests that reach a target long after their callers have
 # gone: they must run once, and wait for a slot.
-async def test_caller_disconnect_withdraws_a_request_in_a_queue():
+@pytest.mark.parametrize('index', [0, 1])
+async def test_caller_disconnect_withdraws_a_request_in_a_queue(index):
     routes = (('/book/', 'orders', 'unsafe', {'target_latency_ms': 16_000}),)
     async with running_fleet('stock', 'orders', routes=routes) as fleet:
         target = fleet.targets[1]
         target.response_delay_s = 1.5
-        for index in (0, 1):
-            address = fleet.settings[index].callers_address
-            clients = [
-                await RawClient.connect(HOST, address.port) for _ in range(12)
-            ]
-            target.received_requests.clear()
-            for client in clients:
-                await client.send_request('POST', '/book/x')
+        address = fleet.settings[index].callers_address
+        clients = [
+            await RawClient.connect(HOST, address.port) for _ in range(12)
+        ]
+        for client in clients:
+            await client.send_request('POST', '/book/x')
+        async with asyncio.timeout(10):
             while not target.received_requests:
                 await asyncio.sleep(0.01)
-            # The others that get a slot arrive together with the first.
-            await asyncio.sleep(0.3)
-            running = len(target.received_requests)
-            assert running < len(clients)
-            for client in clients:
-                client.close_sending_half()
-            await asyncio.sleep(0.5)
-            assert len(target.received_requests) == running
-            statuses = [(await client.read_response())[0] for client in clients]
-            assert statuses.count(200) == running
-            assert statuses.count(503) == len(clients) - running
-            for client in clients:
-                client.close()
+        # The others that get a slot arrive together with the first.
+        await asyncio.sleep(0.3)
+        running = len(target.received_requests)
+        assert running < len(clients)
+        for client in clients:
+            client.close_sending_half()
+        await asyncio.sleep(0.5)
+        assert len(target.received_requests) == running
+        statuses = [(await client.read_response())[0] for client in clients]
+        assert statuses.count(200) == running
+        assert statuses.count(503) == len(clients) - running
+        for client in clients:
+            client.close()
 
 
 async def test_quota_is_enforced():
