--- a/packages/node/src/chivelead_node/_internal/server_connections.py
+++ b/packages/node/src/chivelead_node/_internal/server_connections.py
@@ -303,9 +303,9 @@
         """
         if len(self._messages) > queued:
             self._has_answered = False
+            self._last_body = self._messages[-1][1]
             if self._refuse_invalid():
                 return
-            self._last_body = self._messages[-1][1]
             self._framing_limit.reset()
             received_bytes = 0
         self._find_trailers(queued)
--- a/packages/node/tests/unit/test_failed_exchanges.py
+++ b/packages/node/tests/unit/test_failed_exchanges.py
@@ -273,6 +273,21 @@
             assert _count_objects(kind) <= _LATE
 
 
+# Guards against a refusal that a client which has closed its sending half
+# does not get.
+@pytest.mark.parametrize('form', _REQUESTS)
+async def test_refusal_is_due_after_the_end_of_the_sending_half(form):
+    server = server_connections.ConnectionServer(
+        _never_called, _make_connections()
+    )
+    connection = server()
+    connection.connection_made(_FakeTransport())
+    connection.data_received(_REQUESTS[form])
+    assert connection.eof_received()
+    await asyncio.sleep(0)
+    connection.connection_lost(None)
+
+
 # Guards against a parser that has failed and is fed with all that follows.
 @pytest.mark.parametrize('form', _REQUESTS)
 async def test_bytes_after_the_first_error_are_not_parsed(form):
