--- a/packages/node/src/chivelead_node/_internal/events.py
+++ b/packages/node/src/chivelead_node/_internal/events.py
@@ -13,6 +13,8 @@
 
 _log = logging.getLogger('chivelead.events')
 _MAX_ERROR_LENGTH = 200
+# Fields may hold what a client or a peer has sent, such as the request ID.
+_MAX_FIELD_LENGTH = 1000
 _NO_EVENTS: frozenset[str] = frozenset()
 _OMITTED_FIELDS = frozenset(('task_uuid', 'task_level', 'timestamp'))
 
@@ -136,7 +138,9 @@
         )
 
     def _append_recent(self, event: str, fields: dict[str, Any]) -> None:
-        self._recent.append(_RecordedEvent(self._clock.stamp(), event, fields))
+        self._recent.append(
+            _RecordedEvent(self._clock.stamp(), event, _shorten_fields(fields))
+        )
 
     def _to_timeline_event(self, recorded: '_RecordedEvent') -> TimelineEvent:
         return TimelineEvent(
@@ -150,7 +154,16 @@
 
     def _write_to_log(self, event: str, fields: dict[str, Any]) -> None:
         stamp = format_stamp(self._clock.stamp())
-        eliot.log_message(event, stamp=stamp, vm=self._vm, **fields)
+        eliot.log_message(
+            event, stamp=stamp, vm=self._vm, **_shorten_fields(fields)
+        )
+
+
+def _shorten_fields(fields: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: field[:_MAX_FIELD_LENGTH] if isinstance(field, str) else field
+        for name, field in fields.items()
+    }
 
 
 def write_events_to_stderr() -> None:
