--- a/packages/platform/src/chivelead_platform/_internal/store.py
+++ b/packages/platform/src/chivelead_platform/_internal/store.py
@@ -57,6 +57,8 @@
 _ENCODED_RATIO = 2
 # The entries of several times the fleet of the target.
 _MAX_LISTING_BYTES = 16_777_216
+# What an entry takes beside its value.
+_ENTRY_BYTES = 400
 _Query = dict[str, str]
 _Decoded = TypeVar('_Decoded')
 
@@ -132,7 +134,7 @@
             revision = revision or _decode(_decode_store_revision, page)
             if not found or not page.boolean('has_more'):
                 return Listing((*entries, *found), revision)
-            size_bytes += sum(len(entry.text) for entry in found)
+            size_bytes += sum(len(entry.text) + _ENTRY_BYTES for entry in found)
             is_next = not entries or entries[-1].key < found[0].key
             if size_bytes > _MAX_LISTING_BYTES or not is_next:
                 raise StoreUnavailableError(
--- a/packages/platform/tests/unit/test_store_limits.py
+++ b/packages/platform/tests/unit/test_store_limits.py
@@ -67,13 +67,20 @@
             await client.list_prefix('k/')
 
 
-async def test_pages_without_end_are_an_error():
-    value = 'eHh4' * 200_000
+@pytest.mark.parametrize(
+    ('value', 'items'), [('eHh4' * 200_000, 1), ('', 5000)]
+)
+async def test_pages_without_end_are_an_error(value, items):
 
     def reply(request):
         last = request.query.get('after', 'k/0')
-        key = f'k/{int(last.partition("/")[2]) + 1:09}'
-        return _make_page({**_ITEM, 'key': key, 'value': value})
+        first = int(last.partition('/')[2]) + 1
+        return _make_page(
+            *(
+                {**_ITEM, 'key': f'k/{number:09}', 'value': value}
+                for number in range(first, first + items)
+            )
+        )
 
     async with _client_of(reply) as client:
         with pytest.raises(StoreUnavailableError, match='no end'):
