--- a/packages/node/src/chivelead_node/_internal/components.py
+++ b/packages/node/src/chivelead_node/_internal/components.py
@@ -32,6 +32,7 @@
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.metrics import StatsdMetrics
 from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.request_ends import RequestEnds
 from chivelead_node._internal.target_estimates import TargetEstimates
 from chivelead_node._internal.targets import Announcement, LocalTarget
 
@@ -49,6 +50,7 @@
     clock: HybridClock
     events: EventLog
     metrics: StatsdMetrics
+    ends: RequestEnds
     membership: Membership
     links: LinkPool
     store: HttpStore
@@ -137,6 +139,7 @@
             ('shed_level', f'{admission_load.shed_level:.2f}'),
             ('platform_heard_ms', f'{since_heard_ms:.0f}'),
             ('bytes_sent', str(self.links.bytes_sent)),
+            ('unanswered', self.ends.describe()),
         ]
         return tuple(fields)
 
@@ -156,6 +159,7 @@
         log_calls=settings.log.log_calls,
     )
     metrics = StatsdMetrics(settings)
+    ends = RequestEnds(events, metrics)
     membership = Membership(_initial_member(settings, boot_id))
     links = LinkPool(membership, node.fleet_secret.encode(), clock)
     store = HttpStore(settings.store.url, settings.store.timeout_ms)
@@ -203,6 +207,7 @@
         clock=clock,
         events=events,
         metrics=metrics,
+        ends=ends,
         membership=membership,
         links=links,
         store=store,
@@ -222,6 +227,7 @@
             GuardClient(membership, links, guard),
             events,
             metrics,
+            ends,
             settings.limits.body_limit_bytes,
         ),
     )
--- a/packages/node/src/chivelead_node/_internal/connection_set.py
+++ b/packages/node/src/chivelead_node/_internal/connection_set.py
@@ -1,10 +1,12 @@
 """The open connections of an HTTP server, and what is due on them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from chivelead_node._internal.end_causes import EndCause
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.request_ends import RequestEnds
 
 # Time for the answer to a client that sends nothing more.  One that has gone
 # can't be told from one that only closes its sending half and still reads.
@@ -15,12 +17,6 @@
 class TrackedConnection(Protocol):
     """A connection of a client, as the set of connections sees it."""
 
-    last_request_id: str
-
-    @property
-    def client(self) -> str:
-        """Return the address of the client."""
-
     @property
     def input_ended(self) -> bool:
         """Return whether the client has closed its sending half."""
@@ -33,13 +29,15 @@
     def has_unanswered_request(self) -> bool:
         """Return whether a request was read and its answer not written."""
 
-    @property
-    def has_unsent_answer(self) -> bool:
-        """Return whether the kernel has not taken all of an answer yet."""
-
     def undelivered_bytes(self) -> int:
         """Return the bytes that the client has not acknowledged."""
 
+    def pass_on(self, vms: Sequence[str]) -> None:
+        """Note that the request that is handled is passed on."""
+
+    def end_exchanges(self, cause: EndCause) -> None:
+        """Record that the requests and answers that are due end here."""
+
     def force_close(self) -> None:
         """Close the connection without waiting for anything."""
 
@@ -50,12 +48,14 @@
     Args:
         events: Event log.
         request_id_header: Name of the header with the ID of a request.
+        ends: Records the requests that end without an answer.
         on_input_end: Called when a client closes its sending half while an
             answer to it is due; by default its connection is closed after
             ``INPUT_END_GRACE_MS``, which cancels what it waits for.
 
     Attributes:
         request_id_header: See the arguments.
+        ends: See the arguments.
         closing: Whether answers ask their clients to close the connection.
             It stays open until they do, since a request may be on its way.
         refused_count: Connections that were refused for what they sent.
@@ -66,6 +66,7 @@
         self,
         events: EventLog,
         request_id_header: str,
+        ends: RequestEnds,
         on_input_end: Callable[[TrackedConnection], None] | None = None,
     ) -> None:
         """Create an empty set."""
@@ -74,6 +75,7 @@
         self.ignored_count = 0
         self._events = events
         self.request_id_header = request_id_header
+        self.ends = ends
         self._on_input_end = on_input_end
         self._connections: set[TrackedConnection] = set()
 
@@ -81,43 +83,39 @@
         """Add a connection that was accepted."""
         self._connections.add(connection)
 
-    def discard(
-        self, connection: TrackedConnection, error: BaseException | None
-    ) -> None:
-        """Remove a connection that has ended; log an answer that it cut off."""
+    def discard(self, connection: TrackedConnection) -> None:
+        """Remove a connection that has ended."""
         self._connections.discard(connection)
-        if connection.has_unsent_answer:
-            self._record_cut(connection, repr(error) if error else 'closed')
 
-    def record_refused(self, connection: TrackedConnection, why: str) -> None:
-        """Log and count a connection on which something else than HTTP came."""
+    def record_refused(self, request_id: str, client: str, why: str) -> None:
+        """Log and count a connection on which something else than HTTP came.
+
+        Args:
+            request_id: Request that was answered last.
+            client: Address of the client.
+            why: What is wrong with what was received.
+        """
         self.refused_count += 1
         self._events.record_decision(
-            'failed',
-            'connection-refused',
-            connection.last_request_id,
-            client=connection.client,
-            why=why,
+            'failed', 'connection-refused', request_id, client=client, why=why
         )
 
-    def record_ignored(self, connection: TrackedConnection) -> None:
-        """Log and count a client that sends after its last request."""
+    def record_ignored(self, request_id: str, client: str) -> None:
+        """Log and count a client that sends after its last request.
+
+        Args:
+            request_id: Request that was answered last.
+            client: Address of the client.
+        """
         self.ignored_count += 1
         self._events.record_decision(
-            'failed',
-            'input-ignored',
-            connection.last_request_id,
-            client=connection.client,
+            'failed', 'input-ignored', request_id, client=client
         )
 
-    def record_cut_answers(self) -> None:
-        """Log the answers that the end of the process cuts off."""
+    def end_exchanges(self) -> None:
+        """Record the requests and answers that end with the process."""
         for connection in self._connections:
-            if (
-                connection.has_unanswered_request
-                or connection.undelivered_bytes()
-            ):
-                self._record_cut(connection, 'stopped')
+            connection.end_exchanges(EndCause.node_stopped)
 
     def record_input_end(self, connection: TrackedConnection) -> None:
         """Handle the end of what a client sends before it has its answers."""
@@ -156,13 +154,3 @@
             or self.undelivered_bytes()
             or self.count_leaving()
         )
-
-    def _record_cut(self, connection: TrackedConnection, why: str) -> None:
-        self._events.record_decision(
-            'failed',
-            'answer-cut',
-            connection.last_request_id,
-            client=connection.client,
-            why=why,
-            undelivered_bytes=connection.undelivered_bytes(),
-        )
--- a/packages/node/src/chivelead_node/_internal/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/daemon.py
@@ -86,10 +86,14 @@
             self._handle_peer_message,
         )
         self._caller_connections = ServerConnections(
-            self.components.events, calls.HEADER_REQUEST_ID
+            self.components.events,
+            calls.HEADER_REQUEST_ID,
+            self.components.ends,
         )
         self._local_connections = ServerConnections(
-            self.components.events, calls.HEADER_REQUEST_ID
+            self.components.events,
+            calls.HEADER_REQUEST_ID,
+            self.components.ends,
         )
         self._runners: list[web.ServerRunner] = []
         self._caller_site: web.TCPSite | None = None
@@ -148,8 +152,8 @@
         await self._leave_fleet()
         # Some requests have arrived since.
         await self._wait_for_requests(_LAST_ANSWERS_MS)
-        self._caller_connections.record_cut_answers()
-        self._local_connections.record_cut_answers()
+        self._caller_connections.end_exchanges()
+        self._local_connections.end_exchanges()
         await self._stop_components()
 
     def reload(self) -> None:
--- a/packages/node/src/chivelead_node/_internal/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/ingress.py
@@ -23,6 +23,7 @@
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.metrics import StatsdMetrics
 from chivelead_node._internal.outbound import OutboundCalls
+from chivelead_node._internal.request_ends import RequestEnds
 from chivelead_node._internal.requests import (
     authenticate,
     call_timeout_ms,
@@ -35,7 +36,10 @@
     recorded_reply,
     response_from_reply,
 )
-from chivelead_node._internal.server_connection import is_asked_to_leave
+from chivelead_node._internal.server_connection import (
+    is_asked_to_leave,
+    pass_on,
+)
 
 _BAD_REQUEST = 400
 _UNAUTHORISED = 401
@@ -58,6 +62,7 @@
         guard: Client for the nodes that track idempotency keys.
         events: Event log.
         metrics: Counters and timings.
+        ends: Records the requests that end without the answer of a target.
         body_limit_bytes: Maximum size of a request body.
     """
 
@@ -69,6 +74,7 @@
         guard: GuardClient,
         events: EventLog,
         metrics: StatsdMetrics,
+        ends: RequestEnds,
         body_limit_bytes: int,
     ) -> None:
         """Create an ingress without configuration documents."""
@@ -84,6 +90,7 @@
         self._guard = guard
         self._events = events
         self._metrics = metrics
+        self._ends = ends
         self._body_limit_bytes = body_limit_bytes
         self._documents: DocumentSet | None = None
         self._guarded_tasks: set[asyncio.Task[CallReply]] = set()
@@ -127,6 +134,7 @@
         except calls.RefusedCallError as error:
             response = problem_response(error.refusal, request_id)
         else:
+            self._ends.record_reply(reply)
             response = response_from_reply(reply, request_id)
         finally:
             self.in_flight -= 1
@@ -230,6 +238,7 @@
         request: web.BaseRequest,
     ) -> CallReply:
         """Run a call, at most once if it has an idempotency key."""
+        pass_on(request, call.attempted_vms)
         key = request.headers.get(calls.HEADER_IDEMPOTENCY, '')
         if call.idempotent or not key:
             return await self._outbound.run(call)
--- a/packages/node/src/chivelead_node/_internal/lingering_transport.py
+++ b/packages/node/src/chivelead_node/_internal/lingering_transport.py
@@ -26,12 +26,14 @@
     Attributes:
         is_lingering: Whether the connection waits for its client to close.
         input_ended: Whether the client has closed its sending half.
+        given_up_bytes: Bytes that the client has not read in time.
     """
 
     def __init__(self, transport: asyncio.Transport) -> None:
         """Wrap a transport."""
         self.is_lingering = False
         self.input_ended = False
+        self.given_up_bytes = 0
         self._transport = transport
         self._closed_ms = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -50,7 +52,7 @@
 
     def undelivered_bytes(self) -> int:
         """Return the bytes that the client has not acknowledged."""
-        return undelivered_bytes(self._transport)
+        return self.given_up_bytes or undelivered_bytes(self._transport)
 
     def close(self) -> None:
         """End the sending half; close once the client has read all."""
@@ -85,4 +87,5 @@
         if waited_ms < limit_ms:
             self._check_later()
         else:
+            self.given_up_bytes = self.undelivered_bytes()
             self._transport.abort()
--- a/packages/node/src/chivelead_node/_internal/metrics.py
+++ b/packages/node/src/chivelead_node/_internal/metrics.py
@@ -5,6 +5,8 @@
 from chivelead_config import Settings
 from statsd import StatsClient
 
+from chivelead_node._internal.end_causes import EndCause
+
 _PREFIX = 'chivelead'
 
 
@@ -15,6 +17,10 @@
     def count(self, name: str) -> None:
         """Count one event."""
 
+    @abc.abstractmethod
+    def count_end(self, cause: EndCause) -> None:
+        """Count a request that ended without the answer of a target."""
+
     @abc.abstractmethod
     def timing(self, name: str, elapsed_ms: float) -> None:
         """Record a duration."""
@@ -43,6 +49,10 @@
         if self._client is not None:
             self._client.incr(name)
 
+    def count_end(self, cause: EndCause) -> None:
+        """Count a request that ended without the answer of a target."""
+        self.count(f'unanswered.{cause}')
+
     def timing(self, name: str, elapsed_ms: float) -> None:
         """Record a duration."""
         if self._client is not None:
--- a/packages/node/src/chivelead_node/_internal/proxy/call_runner.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/call_runner.py
@@ -51,6 +51,7 @@
     ) -> CallReply:
         """Run a call for a connection and return the reply."""
         connection = cast('TrackedConnection', protocol)
+        connection.pass_on(call.attempted_vms)
         try:
             if call.idempotent:
                 return await self._run_cancellable(call, connection)
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -66,6 +66,7 @@
     TargetHealthMonitor,
 )
 from chivelead_node._internal.proxy.target_state import TargetStatePublisher
+from chivelead_node._internal.request_ends import RequestEnds
 from chivelead_node._internal.target_estimates import RoutingEstimates
 from chivelead_node._internal.targets import LocalTarget
 
@@ -100,6 +101,7 @@
     clock: HybridClock
     events: EventLog
     metrics: ProxyMetrics
+    ends: RequestEnds
     body_memory: BodyMemory
     membership: Membership
     links: LinkPool
@@ -143,6 +145,7 @@
         allow_line=log_writer.allow_line,
     )
     metrics = ProxyMetrics()
+    ends = RequestEnds(events, metrics)
     membership = Membership(_build_own_member(settings))
     body_memory = BodyMemory(
         settings.memory_limit_mb * _BYTES_PER_MB * _BODY_MEMORY_FRACTION
@@ -256,6 +259,7 @@
         clock=clock,
         events=events,
         metrics=metrics,
+        ends=ends,
         body_memory=body_memory,
         membership=membership,
         links=links,
@@ -276,6 +280,7 @@
             overload,
             events,
             metrics,
+            ends,
             body_memory,
         ),
         call_runner=call_runner,
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -71,11 +71,13 @@
         self._caller_connections = ServerConnections(
             self._components.events,
             HEADERS.request_id,
+            self._components.ends,
             self._components.call_runner.handle_input_end,
         )
         self._control_connections = ServerConnections(
             self._components.events,
             HEADERS.request_id,
+            self._components.ends,
             # The work for these requests is short.
             lambda _: None,
         )
@@ -154,7 +156,7 @@
             undelivered_bytes=self._caller_connections.undelivered_bytes(),
             open_connections=self._caller_connections.count_open(),
         )
-        self._caller_connections.record_cut_answers()
+        self._caller_connections.end_exchanges()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
                 await components.reporter.leave()
--- a/packages/node/src/chivelead_node/_internal/proxy/ingress.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/ingress.py
@@ -33,6 +33,7 @@
     response_from_reply,
 )
 from chivelead_node._internal.raw_headers import decode_headers
+from chivelead_node._internal.request_ends import RequestEnds
 
 _UNAUTHORISED = 401
 _NOT_FOUND = 404
@@ -82,6 +83,7 @@
         overload: Tells which requests lead to overloaded services.
         events: Event log.
         metrics: Counters and histograms.
+        ends: Records the requests that end without the answer of a target.
         body_memory: Memory for the bodies of requests and responses.
     """
 
@@ -94,6 +96,7 @@
         overload: FleetOverload,
         events: EventLog,
         metrics: ProxyMetrics,
+        ends: RequestEnds,
         body_memory: BodyMemory,
     ) -> None:
         """Create an ingress without a plan, which refuses all requests."""
@@ -109,6 +112,7 @@
         self._overload = overload
         self._events = events
         self._metrics = metrics
+        self._ends = ends
         self._body_memory = body_memory
         self._plan: TrafficPlan | None = None
         self._splits: dict[str, WeightedSplit] = {}
@@ -193,6 +197,7 @@
             )
             return response_from_refusal(refusal)
         reply = await self._runner.run(call, request.protocol)
+        self._ends.record_reply(reply)
         response = response_from_reply(reply)
         if reply.body:
             response.hold_body(self._body_memory.hold(len(reply.body)))
--- a/packages/node/src/chivelead_node/_internal/proxy/metrics.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from chivelead_node._internal.end_causes import EndCause
 from chivelead_node._internal.metrics import CallMetrics
 
 _MS_PER_S = 1000
@@ -43,6 +44,14 @@
             ['event'],
             registry=self.registry,
         )
+        self._end_count = Counter(
+            'chivelead_unanswered',
+            'Requests that ended without the answer of a target, by cause.',
+            ['cause'],
+            registry=self.registry,
+        )
+        for cause in EndCause:
+            self._end_count.labels(cause.value)
         self._levels = Gauge(
             'chivelead_level',
             'Present levels by name.',
@@ -67,6 +76,10 @@
         """Count one event."""
         self._event_count.labels(name).inc()
 
+    def count_end(self, cause: EndCause) -> None:
+        """Count a request that ended without the answer of a target."""
+        self._end_count.labels(cause.value).inc()
+
     def timing(self, name: str, elapsed_ms: float) -> None:
         """Record the duration of a call at the target."""
         self._target_latency.observe(elapsed_ms / _MS_PER_S)
--- /dev/null
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -0,0 +1,288 @@
+"""Reading of requests on a connection of an HTTP server."""
+
+import itertools
+from typing import Any
+
+from aiohttp import StreamReader, web
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from chivelead_protocol.bounds import FramingLimit, release_frames, shorten
+
+from chivelead_node._internal.connection_set import ServerConnections
+from chivelead_node._internal.end_causes import EndCause
+from chivelead_node._internal.exchanges import ExchangeQueue
+from chivelead_node._internal.lingering_transport import (
+    LingeringTransport,
+)
+from chivelead_node._internal.message_ends import ReceivedBytes
+
+_BAD_REQUEST = 400
+_HEADERS_TOO_LARGE = 431
+_HEAD_REFUSAL = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+# A client that sends more after its request was refused may never stop.
+_MAX_IGNORED_BYTES = 1_048_576
+# Bounds the work on a body that consists of empty lines.
+_MAX_PARTS = 256
+# Message of the error of aiohttp, which has no type of its own.
+_TOO_MANY_HEADERS = 'Too many headers received'
+
+
+class RequestReader(RequestHandler):
+    """A connection that begins an exchange for each request that it reads.
+
+    Args:
+        connections: Set that the connection belongs to while it is open.
+        manager: Server that accepted the connection.
+        options: Options of the base class.
+    """
+
+    def __init__(
+        self,
+        connections: ServerConnections,
+        manager: web.Server,
+        **options: Any,
+    ) -> None:
+        """Create a handler that the event loop will connect."""
+        super().__init__(manager, **options)
+        self._connections = connections
+        self._exchanges = ExchangeQueue(connections.ends)
+        # Why this node closes the connection, if it does.
+        self._close_cause: EndCause | None = None
+        self._open_transport: LingeringTransport | None = None
+        self._last_body: StreamReader | None = None
+        # Nothing more is read on this connection.
+        self._stopped_reading = False
+        # Requests that the base class has counted, and that have an exchange.
+        self._begun_count = 0
+        self._received = ReceivedBytes()
+        self._unparsed = b''
+        # Of a body whose length is known; the parser may not have it yet.
+        self._body_left_bytes = 0
+        self._chunked_body: StreamReader | None = None
+        # What was received is no request.
+        self._has_refused = False
+        self._ignored_bytes = 0
+        self._framing_limit = FramingLimit()
+
+    @property
+    def last_request_id(self) -> str:
+        """Return the ID of the request that was answered last."""
+        return self._exchanges.last_request_id
+
+    @property
+    def client(self) -> str:
+        """Return the address of the client, for log messages."""
+        return str(self.peername)
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Parse received bytes; ignore those after the last request.
+
+        If the parser finds an error, it drops the requests before it in the
+        same bytes.  So it gets no more than one message at a time.
+        """
+        if not data:
+            # The parser goes on with bytes that it has kept.
+            self._parse(data)
+        unparsed = self._unparsed + data
+        part_count = 0
+        while unparsed and not self._is_parsing_paused():
+            part_count += 1
+            if part_count > _MAX_PARTS:
+                part_length = len(unparsed)
+            else:
+                part_length = self._find_part(unparsed)
+            self._parse(unparsed[:part_length])
+            unparsed = unparsed[part_length:]
+        self._unparsed = unparsed
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that failed or is not valid."""
+        if isinstance(exc, web.RequestPayloadError):
+            status, message = _BAD_REQUEST, 'the body of the request is invalid'
+        elif not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        response = web.Response(status=status, text=message)
+        response.force_close()
+        return response
+
+    def _is_parsing_paused(self) -> bool:
+        """Return whether the parser is to get no bytes until some are read."""
+        return (
+            self._reading_paused
+            or len(self._messages) >= self._max_msg_queue_size
+        )
+
+    def _find_part(self, unparsed: bytes) -> int:
+        """Return how many bytes surely belong to one message."""
+        body_left = self._body_left_bytes
+        if not body_left:
+            return self._received.find_end(unparsed)
+        part_length = min(body_left, len(unparsed))
+        self._body_left_bytes = body_left - part_length
+        return part_length
+
+    def _parse(self, part: bytes) -> None:
+        """Parse received bytes; ignore those after the last request."""
+        transport = self._open_transport
+        is_lingering = transport is not None and transport.is_lingering
+        if is_lingering or self._stopped_reading:
+            if part:
+                self._ignore(len(part))
+            return
+        self._received.append(part)
+        queued = len(self._messages)
+        body = self._last_body
+        known_bytes = 0 if body is None else body.total_bytes
+        RequestHandler.data_received(self, part)
+        body_bytes = 0 if body is None else body.total_bytes - known_bytes
+        self._handle_parsed(queued, len(part), body_bytes)
+
+    def _drop_incomplete(self) -> None:
+        """Drop a request that waits behind others and will never be whole."""
+        body = self._last_body
+        has_others = self._waiter is None or len(self._messages) > 1
+        if body is None or body.is_eof() or not has_others:
+            return
+        if self._messages:
+            self._messages.pop()
+            self._exchanges.end_last(EndCause.request_incomplete)
+            self._last_body = EMPTY_PAYLOAD
+
+    def _begin_exchanges(self) -> None:
+        """Begin the exchanges of the requests that were parsed."""
+        new_count = self._request_count - self._begun_count
+        self._begun_count = self._request_count
+        known_count = len(self._messages) - new_count
+        for message, body in itertools.islice(
+            self._messages, known_count, None
+        ):
+            if not isinstance(message, _ErrInfo):
+                request_id = message.headers.get(
+                    self._connections.request_id_header, ''
+                )
+                self._exchanges.begin(request_id, body)
+
+    def _handle_parsed(
+        self, queued: int, received_bytes: int, body_bytes: int
+    ) -> None:
+        """Handle what the parser has found in received bytes.
+
+        Args:
+            queued: Number of requests in the queue before.
+            received_bytes: Number of bytes received.
+            body_bytes: Number of them that belong to the body that was read.
+        """
+        self._begin_exchanges()
+        if len(self._messages) > queued:
+            message, body = self._messages[-1]
+            if isinstance(message, _ErrInfo):
+                self._refuse_invalid(message)
+                return
+            self._last_body = body
+            length = message.headers.get('Content-Length', 0)
+            self._body_left_bytes = int(length)
+            self._framing_limit.reset()
+            received_bytes = 0
+        self._find_trailers(queued)
+        if not self._framing_limit.record(received_bytes, body_bytes):
+            self._refuse_framing()
+
+    def _find_trailers(self, queued: int) -> None:
+        """Stop reading if the bytes just parsed may contain trailers.
+
+        Args:
+            queued: Number of requests in the queue before they were parsed.
+        """
+        bodies = [self._chunked_body]
+        for message, payload in itertools.islice(self._messages, queued, None):
+            is_chunked = getattr(message, 'chunked', False)
+            bodies.append(payload if is_chunked else None)
+        self._chunked_body = bodies[-1]
+        for index, body in enumerate(bodies, start=1):
+            if body is None or not body.is_eof():
+                continue
+            unread = len(bodies) - index
+            if unread or not self._received.end_without_trailers:
+                self._stop_reading(unread)
+                return
+            self._chunked_body = None
+
+    def _refuse_invalid(self, invalid: _ErrInfo) -> None:
+        """Stop reading, since what was received is no request.
+
+        Args:
+            invalid: Error of the last message.
+        """
+        status = invalid.status
+        is_too_large = isinstance(invalid.exc, LineTooLong)
+        if is_too_large or invalid.message == _TOO_MANY_HEADERS:
+            status = _HEADERS_TOO_LARGE
+        # The error holds what was received, and this connection the error.
+        release_frames(invalid.exc)
+        message = shorten(invalid.message)
+        error = HttpProcessingError(code=status, message=message)
+        self._messages.pop()
+        body = self._last_body
+        self._last_body = EMPTY_PAYLOAD
+        if body is None or body.is_eof():
+            refusal = _ErrInfo(status, error, message)
+            self._messages.append((refusal, EMPTY_PAYLOAD))
+            self._exchanges.begin('', EMPTY_PAYLOAD)
+        else:
+            self._fail_body(body, message)
+        self._stop_receiving(message)
+
+    def _refuse_framing(self) -> None:
+        """Refuse a request whose head, chunk size or trailers have no end."""
+        body = self._last_body
+        if body is not None and not body.is_eof():
+            self._fail_body(body, 'the framing of the body has no end')
+        elif not self._exchanges and self.transport is not None:
+            self.transport.write(_HEAD_REFUSAL)
+            self.force_close()
+        self._stop_receiving('framing has no end')
+
+    def _fail_body(self, body: StreamReader, why: str) -> None:
+        """End a body of which no more can be read."""
+        if self._exchanges:
+            body.set_exception(web.RequestPayloadError(why))
+        else:
+            self.close()
+            body.feed_eof()
+
+    def _stop_receiving(self, why: str) -> None:
+        """Ignore all that follows and, until the answer, do not read it."""
+        self._has_refused = True
+        self._stopped_reading = True
+        self._connections.record_refused(self.last_request_id, self.client, why)
+        self._pause_transport_reading()
+
+    def _ignore(self, received_bytes: int) -> None:
+        """Reset the connection if a client that was refused sends on."""
+        if not self._ignored_bytes:
+            self._exchanges.note('input-ignored')
+            self._connections.record_ignored(self.last_request_id, self.client)
+        self._ignored_bytes += received_bytes
+        is_over = self._ignored_bytes > _MAX_IGNORED_BYTES
+        if is_over and self._has_refused and self._open_transport is not None:
+            self._close_cause = EndCause.input_refused
+            self._open_transport.abort()
+
+    def _stop_reading(self, unread: int) -> None:
+        """Close the connection after the responses to some of the requests."""
+        self._stopped_reading = True
+        for _ in range(unread):
+            self._messages.pop()
+            self._exchanges.end_last(EndCause.behind_last_answer)
+        if not self._messages:
+            self.close()
--- a/packages/node/tests/unit/test_failed_exchanges.py
+++ b/packages/node/tests/unit/test_failed_exchanges.py
@@ -7,15 +7,15 @@
 
 import pytest
 from aiohttp import web, web_protocol
-from chivelead_node._internal import connection_set, server_connection
-from chivelead_node._internal.events import EventLog
+from chivelead_node._internal import server_connection
 from chivelead_node._internal.target_connections import TargetConnection
 from chivelead_node._internal.targets import (
     Announcement,
     LocalTarget,
     TargetFailedError,
 )
-from chivelead_protocol import HybridClock, TargetState
+from chivelead_protocol import TargetState
+from lib import connections
 from lib.fake_platform import HOST, free_ports
 
 _CALL_COUNT = 50
@@ -225,31 +225,16 @@
 )
 
 
-def _make_connections():
-    return connection_set.ServerConnections(
-        EventLog('vm-1', HybridClock(), 10, log_calls=False), 'X-Request-Id'
-    )
-
-
 @contextlib.asynccontextmanager
 async def _listening():
-    connections = _make_connections()
-    port = free_ports(1)[0]
-
     async def respond(request):
         await request.read()
         return web.Response(text='hello')
 
-    server = server_connection.ConnectionServer(
-        respond, connections, access_log=None, handler_cancellation=True
-    )
-    runner = web.ServerRunner(server, shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, HOST, port).start()
-    try:
+    async with connections.serving(
+        respond, connections.make_connections(), handler_cancellation=True
+    ) as port:
         yield port
-    finally:
-        await runner.cleanup()
 
 
 async def _exchange(port, request):
@@ -278,7 +263,7 @@
 @pytest.mark.parametrize('form', _REQUESTS)
 async def test_refusal_is_due_after_the_end_of_the_sending_half(form):
     server = server_connection.ConnectionServer(
-        _never_called, _make_connections()
+        _never_called, connections.make_connections()
     )
     connection = server()
     connection.connection_made(_FakeTransport())
@@ -292,7 +277,7 @@
 @pytest.mark.parametrize('form', _REQUESTS)
 async def test_bytes_after_the_first_error_are_not_parsed(form):
     server = server_connection.ConnectionServer(
-        _never_called, _make_connections()
+        _never_called, connections.make_connections()
     )
     connection = server()
     transport = _FakeTransport()
