--- a/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
+++ b/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
@@ -1,6 +1,7 @@
 """Requests to nodes for their status and their recent events."""
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 from collections.abc import Iterable
@@ -22,6 +23,8 @@
 _RELAY_PREFIX = 'relay/'
 _REQUEST_TIMEOUT_MS = 3000.0
 _SENDER_NAME = 'operator'
+# Counts of a process, and of processes that have ended, which it keeps.
+_END_FIELDS = ('unanswered', 'unanswered_before')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +39,15 @@
     reports: tuple[StatusReport, ...]
     unreachable: tuple[str, ...]
 
+    def count_ends(self) -> dict[str, int]:
+        """Return the requests without the answer of a target, by cause."""
+        sums: collections.Counter[str] = collections.Counter()
+        for report in self.reports:
+            fields = dict(report.fields)
+            for name in _END_FIELDS:
+                sums.update(_parse_counts(fields.get(name, '')))
+        return dict(sorted(sums.items()))
+
     def versions(self) -> dict[str, list[int]]:
         """Return the document version of each node, by failure domain."""
         domains = {
@@ -168,3 +180,8 @@
         reply.events for reply in replies if reply is not None
     )
     return sorted(events, key=lambda event: (event.stamp, event.vm))
+
+
+def _parse_counts(text: str) -> dict[str, int]:
+    pairs = (pair.rpartition(':') for pair in text.split(',') if pair)
+    return {name: int(count) for name, _, count in pairs}
--- a/packages/node/src/chivelead_node/_internal/components.py
+++ b/packages/node/src/chivelead_node/_internal/components.py
@@ -27,6 +27,7 @@
 
 from chivelead_node._internal.dialects import ChiveleadDialect
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.former_ends import FormerEnds
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.ingress import HttpIngress
 from chivelead_node._internal.links import LinkPool
@@ -51,6 +52,7 @@
     events: EventLog
     metrics: StatsdMetrics
     ends: RequestEnds
+    former_ends: FormerEnds
     membership: Membership
     links: LinkPool
     store: HttpStore
@@ -140,6 +142,7 @@
             ('platform_heard_ms', f'{since_heard_ms:.0f}'),
             ('bytes_sent', str(self.links.bytes_sent)),
             ('unanswered', self.ends.describe()),
+            ('unanswered_before', self.former_ends.describe()),
         ]
         return tuple(fields)
 
@@ -208,6 +211,7 @@
         events=events,
         metrics=metrics,
         ends=ends,
+        former_ends=FormerEnds(ends),
         membership=membership,
         links=links,
         store=store,
--- a/packages/node/src/chivelead_node/_internal/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/daemon.py
@@ -154,6 +154,7 @@
         await self._wait_for_requests(_LAST_ANSWERS_MS)
         self._caller_connections.end_exchanges()
         self._local_connections.end_exchanges()
+        await self._hand_over_counts()
         await self._stop_components()
 
     def reload(self) -> None:
@@ -332,6 +333,28 @@
         )
 
     async def _gossip_to_nearest(self) -> None:
+        components = self.components
+        await asyncio.gather(
+            *map(components.gossip.exchange_with, self._nearest_vms()),
+            return_exceptions=True,
+        )
+
+    async def _hand_over_counts(self) -> None:
+        """Let another node keep the counts of ended requests."""
+        components = self.components
+        own = components.membership.own
+        handover = components.former_ends.make_handover(own.vm, own.boot_id)
+        for vm in self._nearest_vms():
+            try:
+                await components.links.request(
+                    vm, handover, _HANDOVER_TIMEOUT_MS
+                )
+            except ChiveleadError as error:
+                logger.debug('handing over counts to %s failed: %s', vm, error)
+            else:
+                return
+
+    def _nearest_vms(self) -> list[str]:
         components = self.components
         own = components.membership.own
         others = [
@@ -340,10 +363,7 @@
             if member.vm != own.vm
         ]
         nearest = nearest_first(own, others)[:_SHUTDOWN_GOSSIP_PEERS]
-        await asyncio.gather(
-            *(components.gossip.exchange_with(member.vm) for member in nearest),
-            return_exceptions=True,
-        )
+        return [member.vm for member in nearest]
 
     async def _hand_over_shares(
         self,
--- a/packages/node/src/chivelead_node/_internal/peer_handlers.py
+++ b/packages/node/src/chivelead_node/_internal/peer_handlers.py
@@ -28,6 +28,7 @@
     TimelineEvents,
     TimelineQuery,
 )
+from chivelead_protocol.request_ends import EndCountsHandover
 
 from chivelead_node._internal.components import Components
 
@@ -159,6 +160,16 @@
     return Acknowledged()
 
 
+@_handles(EndCountsHandover)
+async def _handle_end_counts(
+    components: Components,
+    _: str,
+    body: EndCountsHandover,
+) -> Any:
+    components.former_ends.keep(body)
+    return Pong()
+
+
 @_handles(StatusQuery)
 async def _handle_status_query(
     components: Components, _: str, body: StatusQuery
--- a/packages/node/src/chivelead_node/_internal/proxy/components.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/components.py
@@ -30,10 +30,16 @@
     RetryBudget,
     TargetEndLedger,
 )
-from chivelead_protocol import HybridClock, Member, TargetState
+from chivelead_protocol import (
+    HybridClock,
+    Member,
+    StatusReport,
+    TargetState,
+)
 
 from chivelead_node._internal.body_memory import BodyMemory
 from chivelead_node._internal.events import EventLog
+from chivelead_node._internal.former_ends import FormerEnds
 from chivelead_node._internal.inbound import InboundCalls
 from chivelead_node._internal.links import LinkPool
 from chivelead_node._internal.log_writer import LogWriter
@@ -102,6 +108,7 @@
     events: EventLog
     metrics: ProxyMetrics
     ends: RequestEnds
+    former_ends: FormerEnds
     body_memory: BodyMemory
     membership: Membership
     links: LinkPool
@@ -125,6 +132,23 @@
     health_monitor: TargetHealthMonitor
     target_ends: TargetEndExchange
 
+    def make_status_report(self) -> StatusReport:
+        """Return the members that this node knows and its state."""
+        admission_load = self.admission.current_load()
+        return StatusReport(
+            vm=self.membership.own.vm,
+            members=self.membership.all_members(),
+            fields=(
+                ('config_version', str(self.plan_feed.current.version)),
+                ('in_flight', str(self.inbound.in_flight)),
+                ('load', f'{admission_load.load:.2f}'),
+                ('shed_level', f'{admission_load.shed_level:.2f}'),
+                ('bytes_sent', str(self.links.bytes_sent)),
+                ('unanswered', self.ends.describe()),
+                ('unanswered_before', self.former_ends.describe()),
+            ),
+        )
+
 
 def build_components(
     settings: ProcessSettings, log_writer: LogWriter
@@ -260,6 +284,7 @@
         events=events,
         metrics=metrics,
         ends=ends,
+        former_ends=FormerEnds(ends),
         body_memory=body_memory,
         membership=membership,
         links=links,
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import math
+from collections.abc import Callable
 from typing import Any
 
 from chivelead_config import TrafficPlan
@@ -21,10 +22,12 @@
     PlanPull,
     Pong,
     ProtocolError,
+    StatusQuery,
     now_ms,
     start_supervised,
     target_end_messages,
 )
+from chivelead_protocol.request_ends import EndCountsHandover
 
 from chivelead_node._internal.connection_set import ServerConnections
 from chivelead_node._internal.log_writer import LogWriter
@@ -88,6 +91,13 @@
             self._handle_peer_request,
             self._components.body_memory,
         )
+        components = self._components
+        # Messages that are answered at once, whoever sends them.
+        self._repliers: dict[type, Callable[[Any], Any]] = {
+            NodeReport: components.relay.handle_report,
+            PlanPull: lambda _: components.plan_feed.handle_pull(),
+            StatusQuery: lambda _: components.make_status_report(),
+        }
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
 
@@ -160,6 +170,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
                 await components.reporter.leave()
+                await self._hand_over_counts()
                 await self._close_components()
         await self._log_writer.close()
 
@@ -169,6 +180,13 @@
             'reload', effect='read at the next start'
         )
 
+    async def _hand_over_counts(self) -> None:
+        components = self._components
+        own = components.membership.own
+        await components.reporter.hand_over(
+            components.former_ends.make_handover(own.vm, own.boot_id)
+        )
+
     def _start_tasks(self) -> None:
         components = self._components
         work_by_name = {
@@ -246,20 +264,25 @@
         components = self._components
         if isinstance(message, CallRequest):
             return await components.inbound.handle_call(message)
-        if isinstance(message, NodeReport):
-            return components.relay.handle_report(message)
+        make_reply = self._repliers.get(type(message))
+        if make_reply is not None:
+            return make_reply(message)
         if isinstance(message, DomainDigest):
             return components.relay.handle_domain_digest(vm, message)
         if isinstance(message, CallCancel):
             return components.inbound.cancel(message.attempt_id)
-        if isinstance(message, PlanPull):
-            return components.plan_feed.handle_pull()
+        if isinstance(message, EndCountsHandover):
+            components.former_ends.keep(message)
         if isinstance(message, MemberNotice):
             components.membership.merge((message.member,))
         if isinstance(message, target_end_messages.TargetEndNotice):
             components.target_ends.handle_notice(vm, message)
         if isinstance(
-            message, Ping | MemberNotice | target_end_messages.TargetEndNotice
+            message,
+            Ping
+            | MemberNotice
+            | EndCountsHandover
+            | target_end_messages.TargetEndNotice,
         ):
             return Pong()
         raise ProtocolError(
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -122,6 +122,19 @@
         self._membership.update_own(alive=False)
         await self.report()
 
+    async def hand_over(self, message: Any) -> None:
+        """Send a message to another node, which keeps what it holds.
+
+        It goes to the best relay that responds, of the own failure domain if
+        there is another one.
+        """
+        own = self._membership.own
+        others = self._ranking.failure_domains() - {own.failure_domain}
+        for failure_domain in (own.failure_domain, *others):
+            for vm in self._ranking.candidates(failure_domain):
+                if vm != own.vm and await self._send(vm, message):
+                    return
+
     def report_soon(self) -> None:
         """Schedule a report at once, after a change of this node."""
         task = start_once(
@@ -161,12 +174,16 @@
             return await self._report_to(vm)
 
     async def _tell(self, vm: str) -> None:
+        await self._send(vm, MemberNotice(self._membership.own))
+
+    async def _send(self, vm: str, message: Any) -> bool:
+        """Send a message to a node; return whether it responded."""
         try:
-            await self._network.request(
-                vm, MemberNotice(self._membership.own), _REPORT_TIMEOUT_MS
-            )
+            await self._network.request(vm, message, _REPORT_TIMEOUT_MS)
         except ChiveleadError as error:
             logger.debug('telling %s failed: %s', vm, error)
+            return False
+        return True
 
     async def _report_forever(self) -> None:
         while True:
--- a/packages/node/src/chivelead_node/_internal/request_ends.py
+++ b/packages/node/src/chivelead_node/_internal/request_ends.py
@@ -1,6 +1,7 @@
 """The owner of the ends of requests that get no answer of a target."""
 
 import collections
+from collections.abc import Mapping
 
 from chivelead_protocol import CallReply, Outcome
 
@@ -55,9 +56,13 @@
 
     def describe(self) -> str:
         """Return the counts as text."""
-        pairs = (f'{cause}:{count}' for cause, count in self.counts().items())
-        return ','.join(pairs)
+        return describe_counts(self.counts())
 
     def _count(self, cause: EndCause) -> None:
         self._counts[cause] += 1
         self._metrics.count_end(cause)
+
+
+def describe_counts(counts: Mapping[str, int]) -> str:
+    """Return counts by name as text."""
+    return ','.join(f'{name}:{count}' for name, count in counts.items())
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -8,6 +8,7 @@
 import secrets
 import signal
 import socket
+import struct
 import sys
 import tempfile
 
@@ -276,7 +277,7 @@
     async def level(self, node, name):
         """Return a gauge of a node; zero if it cannot be read."""
         try:
-            text = await self._get(node.ip, METRICS_PORT, '/metrics')
+            text = await self.get_text(node, METRICS_PORT, '/metrics')
         except aiohttp.ClientError:
             return 0
         prefix = f'chivelead_level{{name="{name}"}} '
@@ -285,6 +286,12 @@
                 return float(line.removeprefix(prefix))
         return 0
 
+    async def get_text(self, node, port, path):
+        """Return what a node serves at a path."""
+        url = f'http://{node.ip}:{port}{path}'
+        async with self._session.get(url) as response:
+            return await response.text()
+
     async def connect(self, index, **options):
         """Open a connection to the callers' port of a node.
 
@@ -301,10 +308,6 @@
                 return response.status == 200
         return False
 
-    async def _get(self, host, port, path):
-        async with self._session.get(f'http://{host}:{port}{path}') as response:
-            return await response.text()
-
     async def _announce_forever(self):
         while True:
             for node in self.nodes:
@@ -422,8 +425,11 @@
         self.last_headers = headers
         return int(status_line.split(' ')[1]), rest[:size]
 
-    def close(self):
-        """Close the connection."""
+    def close(self, *, reset=False):
+        """Close the connection, or reset it."""
+        if reset:
+            linger = struct.pack('ii', 1, 0)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self._socket.close()
 
     async def _receive(self):
