--- a/packages/node/src/chivelead_node/_internal/request_reader.py
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -110,7 +110,10 @@
         if isinstance(exc, web.RequestPayloadError):
             status, message = _BAD_REQUEST, 'the body of the request is invalid'
         elif not isinstance(exc, HttpProcessingError):
-            return super().handle_error(request, status, exc, message)
+            failure = super().handle_error(request, status, exc, message)
+            # The base class would drop the requests behind this one.
+            failure._keep_alive = None  # noqa: SLF001, WPS437
+            return failure
         response = web.Response(status=status, text=message)
         response.force_close()
         return response
--- a/packages/node/tests/unit/test_request_ends.py
+++ b/packages/node/tests/unit/test_request_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import re
 import socket
 import struct
 
@@ -139,6 +140,26 @@
     assert ended == expected
 
 
+# Guards against requests that end without an answer since the one before them
+# on their connection met a fault of its handler.
+@pytest.mark.parametrize(
+    ('sent', 'statuses'),
+    [
+        (_encode(_FAILING) + _encode(_WORK), [b'500', b'200']),
+    ],
+)
+async def test_requests_behind_another_are_answered(sent, statuses):
+    connections = make_connections()
+    async with serving(_respond, connections) as port:
+        sock = await _open(port)
+        await _send(sock, sent)
+        await asyncio.sleep(_WORK_S * len(statuses))
+        received = await asyncio.get_running_loop().sock_recv(sock, 100_000)
+        sock.close()
+    assert re.findall(rb'HTTP/1.1 (\d+)', received) == statuses
+    assert not connections.ends.counts()
+
+
 # Guards against requests at work that the end of the process leaves without a
 # cause.
 async def test_requests_at_the_end_of_the_process_have_a_cause():
