--- a/packages/node/src/chivelead_node/_internal/message_ends.py
+++ b/packages/node/src/chivelead_node/_internal/message_ends.py
@@ -1,8 +1,8 @@
 """Ends of messages in the bytes that a connection receives.
 
 The parser of aiohttp adds the last trailer of a message to the header of the
-next message on the connection.  A connection is therefore reused after a
-chunked message only if that message is known to have no trailers.
+next message on the connection.  After a chunked message that may have trailers,
+a connection of a caller gets a new parser, and one to a target is not reused.
 """
 
 _EMPTY_LINE = b'\r\n\r\n'
--- a/packages/node/src/chivelead_node/_internal/request_reader.py
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from aiohttp import StreamReader, web
+from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
@@ -67,6 +68,7 @@
         self._has_refused = False
         self._ignored_bytes = 0
         self._framing_limit = FramingLimit()
+        self._auto_decompress = bool(options.get('auto_decompress', True))
 
     @property
     def last_request_id(self) -> str:
@@ -201,7 +203,7 @@
             self._refuse_framing()
 
     def _find_trailers(self, queued: int) -> None:
-        """Stop reading if the bytes just parsed may contain trailers.
+        """Replace the parser if the bytes just parsed may contain trailers.
 
         Args:
             queued: Number of requests in the queue before they were parsed.
@@ -215,11 +217,27 @@
             if body is None or not body.is_eof():
                 continue
             unread = len(bodies) - index
-            if unread or not self._received.end_without_trailers:
+            if unread:
                 self._stop_reading(unread)
                 return
+            if not self._received.end_without_trailers:
+                self._renew_parser()
             self._chunked_body = None
 
+    def _renew_parser(self) -> None:
+        """Replace the parser, which would add trailers to the next request."""
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=self._auto_decompress,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
+
     def _refuse_invalid(self, invalid: _ErrInfo) -> None:
         """Stop reading, since what was received is no request.
 
--- a/packages/node/tests/unit/test_request_ends.py
+++ b/packages/node/tests/unit/test_request_ends.py
@@ -21,6 +21,8 @@
 _WORK = b'/work'
 _LARGE = b'/large'
 _FAILING = b'/failing'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+_TRAILERS = b'3\r\nabc\r\n0\r\nX-Sum: 1\r\n\r\n'
 
 
 def _encode(path, fields=b'', body=b'', request_id=b'a'):
@@ -141,11 +143,19 @@
 
 
 # Guards against requests that end without an answer since the one before them
-# on their connection met a fault of its handler.
+# on their connection met a fault of its handler, or had trailers.
 @pytest.mark.parametrize(
     ('sent', 'statuses'),
     [
         (_encode(_FAILING) + _encode(_WORK), [b'500', b'200']),
+        (
+            _encode(_WORK, _CHUNKED, _TRAILERS) + _encode(_WORK),
+            [b'200', b'200'],
+        ),
+        (
+            _encode(_WORK, _CHUNKED, _TRAILERS) * 2 + _encode(_WORK),
+            [b'200', b'200', b'200'],
+        ),
     ],
 )
 async def test_requests_behind_another_are_answered(sent, statuses):
