--- a/tests/functional/test_platform_answers.py
+++ b/tests/functional/test_platform_answers.py
@@ -40,7 +40,7 @@
 # sending half counts as gone.
 @pytest.mark.parametrize(
     ('method', 'path', 'delay_s'),
-    [('GET', '/read/x', 0.1), ('POST', '/book/x', 1)],
+    [('GET', '/read/x', 0.1), ('GET', '/read/x', 1), ('POST', '/book/x', 1)],
 )
 async def test_client_that_closes_its_sending_half_gets_its_answer(
     fleet, method, path, delay_s
--- a/tests/functional/test_platform_stopping_connections.py
+++ b/tests/functional/test_platform_stopping_connections.py
@@ -14,6 +14,7 @@
 _ROUTES = (
     ('/read/', 'stock', 'safe', {'timeout_ms': 9000}),
     ('/book/', 'orders', 'unsafe', {'timeout_ms': 9000}),
+    ('/list/', 'orders', 'safe', {'timeout_ms': 9000}),
 )
 _SLOTS = 100
 # Times from SIGTERM at which clients send.
@@ -27,6 +28,8 @@
 _LONG_REQUEST_MS = 8000
 _READ_AFTER_S = 1.2
 _UPLOAD_BYTES = 200_000
+_HALF_CLOSED_WORK_MS = 900
+_HALF_CLOSED_MOMENTS_S = (-0.8, -0.3, 0, 0.3, 1, 1.8, 2.2)
 _OK = 200
 _CUT = 'cut off'
 
@@ -238,3 +241,27 @@
         elif answer != _OK and moment_s < _SERVED_UNTIL_S:
             return False
     return True
+
+
+async def half_close_at(fleet, moment_s):
+    """Send a request at a time from SIGTERM, and then nothing more."""
+    client = await fleet.connect(0)
+    await asyncio.sleep(1 + moment_s)
+    await client.send_request('GET', f'/list/{_HALF_CLOSED_WORK_MS}')
+    client.close_sending_half()
+    status, _ = await client.read_response()
+    client.close()
+    return status
+
+
+# Guards against an answer of the node in the place of a target's that is at
+# work: the client has closed its sending half behind an idempotent request.
+async def test_half_closed_requests_are_answered_in_a_stop(fleet):
+    async with asyncio.TaskGroup() as group:
+        tasks = [
+            group.create_task(half_close_at(fleet, moment_s))
+            for moment_s in _HALF_CLOSED_MOMENTS_S
+        ]
+        group.create_task(stop(fleet))
+    statuses = [task.result() for task in tasks]
+    assert set(statuses) == {_OK}, statuses
