--- a/packages/node/src/chivelead_node/_internal/calls.py
+++ b/packages/node/src/chivelead_node/_internal/calls.py
@@ -24,13 +24,10 @@
     Attributes:
         max_downstream_level: Highest shed level in the replies to these
             calls, including the levels of services that they called in turn.
-        is_withdrawn: Whether no more attempts are made, as the caller sends
-            nothing more.
     """
 
     remaining: int
     max_downstream_level: float = 0
-    is_withdrawn: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,7 +46,6 @@
             limits it.
         body_share: Memory that is counted for the body, if it is counted.
         attempted_vms: VMs that the call was sent to, in order.
-        attempt_ids: IDs of these attempts.
     """
 
     request_id: str
@@ -67,7 +63,6 @@
     queue_limit_ms: float = 0
     body_share: BodyShare | None = None
     attempted_vms: list[str] = dataclasses.field(default_factory=list)
-    attempt_ids: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/src/chivelead_node/_internal/connection_set.py
+++ b/packages/node/src/chivelead_node/_internal/connection_set.py
@@ -1,18 +1,12 @@
 """The open connections of an HTTP server, and what is due on them."""
 
-import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
 from chivelead_node._internal.end_causes import EndCause
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.request_ends import RequestEnds
 
-# Time for the answer to a client that sends nothing more.  One that has gone
-# can't be told from one that only closes its sending half and still reads.
-INPUT_END_GRACE_MS = 250.0
-_MS_PER_S = 1000
-
 
 class TrackedConnection(Protocol):
     """A connection of a client, as the set of connections sees it."""
@@ -49,15 +43,14 @@
         events: Event log.
         request_id_header: Name of the header with the ID of a request.
         ends: Records the requests that end without an answer.
-        on_input_end: Called when a client closes its sending half while an
-            answer to it is due; by default its connection is closed after
-            ``INPUT_END_GRACE_MS``, which cancels what it waits for.
 
     Attributes:
         request_id_header: See the arguments.
         ends: See the arguments.
         closing: Whether answers ask their clients to close the connection.
             It stays open until they do, since a request may be on its way.
+        is_probing: Whether clients that have closed their sending half are
+            probed while their requests are at work.
         refused_count: Connections that were refused for what they sent.
         ignored_count: Connections that were closed while their clients sent on.
     """
@@ -67,16 +60,15 @@
         events: EventLog,
         request_id_header: str,
         ends: RequestEnds,
-        on_input_end: Callable[[TrackedConnection], None] | None = None,
     ) -> None:
         """Create an empty set."""
         self.closing = False
+        self.is_probing = True
         self.refused_count = 0
         self.ignored_count = 0
         self._events = events
         self.request_id_header = request_id_header
         self.ends = ends
-        self._on_input_end = on_input_end
         self._connections: set[TrackedConnection] = set()
 
     def add(self, connection: TrackedConnection) -> None:
@@ -117,15 +109,6 @@
         for connection in self._connections:
             connection.end_exchanges(EndCause.node_stopped)
 
-    def record_input_end(self, connection: TrackedConnection) -> None:
-        """Handle the end of what a client sends before it has its answers."""
-        if self._on_input_end is not None:
-            self._on_input_end(connection)
-            return
-        asyncio.get_running_loop().call_later(
-            INPUT_END_GRACE_MS / _MS_PER_S, connection.force_close
-        )
-
     def count_open(self) -> int:
         """Return the number of open connections."""
         return len(self._connections)
--- a/packages/node/src/chivelead_node/_internal/exchanges.py
+++ b/packages/node/src/chivelead_node/_internal/exchanges.py
@@ -75,6 +75,11 @@
         """Return the ID of the request that was answered last."""
         return self._last_request_id
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether the answer to the oldest request is being written."""
+        return bool(self._open) and self._open[0].is_answering
+
     def note(self, event: str) -> None:
         """Keep an event of the connection for the log."""
         self._events.append((loop_ms(), event))
--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -143,15 +143,6 @@
             last_reply = reply
         raise AssertionError('unreachable')
 
-    async def withdraw(self, call: calls.Call) -> None:
-        """Refuse a call that waits for a slot, and make no more attempts.
-
-        An attempt that runs goes on.
-        """
-        call.allowance.is_withdrawn = True
-        if call.attempt_ids:
-            await self._cancel(call.attempted_vms[-1], call.attempt_ids[-1])
-
     def _choose_vm(self, call: calls.Call, tried: Collection[str]) -> str:
         members = self._available_members(call.service, tried)
         if not members:
@@ -236,7 +227,6 @@
         forwarded = self._retries.forwarded_allowance(call.allowance.remaining)
         call.allowance.remaining -= forwarded
         request = self._build_request(call, vm, forwarded)
-        call.attempt_ids.append(request.attempt_id)
         self._in_flight[vm] = self._in_flight.get(vm, 0) + 1
         self._events.record_call_event(
             'attempt',
@@ -395,7 +385,7 @@
 
 
 def _is_safe_to_retry(call: calls.Call, reply: CallReply) -> bool:
-    if call.allowance.is_withdrawn or reply.reason in _FINAL_REFUSALS:
+    if reply.reason in _FINAL_REFUSALS:
         return False
     return call.idempotent or reply.outcome == Outcome.not_run
 
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -75,15 +75,14 @@
             self._components.events,
             HEADERS.request_id,
             self._components.ends,
-            self._components.call_runner.handle_input_end,
         )
         self._control_connections = ServerConnections(
             self._components.events,
             HEADERS.request_id,
             self._components.ends,
-            # The work for these requests is short.
-            lambda _: None,
         )
+        # The work for these requests is short.
+        self._control_connections.is_probing = False
         self._peer_server = PeerServer(
             settings.vm,
             LINK_SECRET,
@@ -146,6 +145,8 @@
             'node-closing', in_flight=components.ingress.in_flight
         )
         self._stopping = True
+        # All requests at work are answered, and their work soon ends.
+        self._caller_connections.is_probing = False
         components.inbound.draining = True
         components.publisher.publish()
         components.membership.update_own(relay=False)
--- a/packages/node/src/chivelead_node/_internal/proxy/request_timeouts.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/request_timeouts.py
@@ -15,7 +15,7 @@
     def __init__(self) -> None:
         """Create timeouts without a common end."""
         self._end_ms = math.inf
-        self._running: dict[object, asyncio.Timeout] = {}
+        self._running: set[asyncio.Timeout] = set()
 
     def limit(self, end_ms: float) -> None:
         """Set the common end, also for the steps that run already.
@@ -24,45 +24,30 @@
             end_ms: Event loop time.
         """
         self._end_ms = end_ms
-        for timeout in self._running.values():
-            _make_earlier(timeout, end_ms)
-
-    def limit_step(self, owner: object, end_ms: float) -> None:
-        """Set an earlier end for a step that runs; others have no effect.
-
-        Args:
-            owner: Owner of the step.
-            end_ms: Event loop time.
-        """
-        timeout = self._running.get(owner)
-        if timeout is not None:
+        for timeout in self._running:
             _make_earlier(timeout, end_ms)
 
     async def run(
         self,
         step: Coroutine[Any, Any, _OutcomeT],
         deadline_ms: float = math.inf,
-        owner: object = None,
     ) -> _OutcomeT:
         """Return the result of a step.
 
         Args:
             step: Coroutine that is cancelled if it takes too long.
             deadline_ms: Event loop time; by default only the common end holds.
-            owner: Identifies the step for ``limit_step``; it owns no other
-                step meanwhile.
 
         Raises:
             TimeoutError: The step did not end in time.
         """
         timeout = asyncio.timeout_at(min(deadline_ms, self._end_ms) / _MS_PER_S)
-        owner = owner or timeout
-        self._running[owner] = timeout
+        self._running.add(timeout)
         try:
             async with timeout:
                 return await step
         finally:
-            self._running.pop(owner)
+            self._running.discard(timeout)
 
 
 def _make_earlier(timeout: asyncio.Timeout, end_ms: float) -> None:
--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -8,6 +8,7 @@
 from aiohttp import HttpVersion11, web
 from chivelead_protocol import loop_ms
 
+from chivelead_node._internal.caller_probe import CallerProbe
 from chivelead_node._internal.connection_set import ServerConnections
 from chivelead_node._internal.end_causes import EndCause
 from chivelead_node._internal.expectations import may_await_continue
@@ -42,6 +43,7 @@
         """Create a handler that the event loop will connect."""
         super().__init__(connections, manager, **options)
         self._asked_to_leave_ms = math.inf
+        self._probe = CallerProbe(self._write_interim, self._find_unanswered)
 
     @property
     def is_asked_to_leave(self) -> bool:
@@ -103,7 +105,7 @@
                 self._close_cause = EndCause.request_incomplete
             return False
         transport.input_ended = True
-        self._connections.record_input_end(self)
+        self._probe.start()
         return True
 
     async def finish_response(
@@ -180,6 +182,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
         self._connections.discard(self)
+        self._probe.close()
         cause = self._close_cause or self._find_cause(exc)
         # A client that has gone lacks what it did not acknowledge.
         if self._exchanges or cause is EndCause.answer_not_read:
@@ -189,6 +192,16 @@
             self._open_transport = None
         super().connection_lost(exc)
 
+    def _find_unanswered(self) -> web.BaseRequest | None:
+        """Return the request that is handled if its answer has not begun."""
+        if not self._connections.is_probing or self._exchanges.is_answering:
+            return None
+        return self._current_request
+
+    def _write_interim(self, raw: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(raw)
+
     def _find_cause(self, error: BaseException | None) -> EndCause:
         """Return why a connection ended that this node did not close."""
         transport = self._open_transport
