--- a/packages/node/src/chivelead_node/_internal/events.py
+++ b/packages/node/src/chivelead_node/_internal/events.py
@@ -11,6 +11,8 @@
 from chivelead_protocol import HybridClock, TimelineEvent, format_stamp
 from logfmter import Logfmter
 
+from chivelead_node._internal.nonblocking_output import NonBlockingHandler
+
 _log = logging.getLogger('chivelead.events')
 _MAX_ERROR_LENGTH = 200
 # Fields may hold what a client or a peer has sent, such as the request ID.
@@ -168,7 +170,7 @@
 
 def write_events_to_stderr() -> None:
     """Write events and log records to stderr in logfmt format."""
-    stream = logging.StreamHandler(sys.stderr)
+    stream = NonBlockingHandler(sys.stderr.fileno())
     stream.setFormatter(
         Logfmter(keys=['level'], mapping={'level': 'levelname'}),
     )
--- a/packages/node/src/chivelead_node/_internal/log_writer.py
+++ b/packages/node/src/chivelead_node/_internal/log_writer.py
@@ -1,9 +1,7 @@
 """Non-blocking, rate-limited log output as key=value lines."""
 
 import asyncio
-import collections
 import json
-import os
 import re
 import sys
 import types
@@ -12,6 +10,8 @@
 import eliot
 from chivelead_protocol import loop_ms, start_supervised
 
+from chivelead_node._internal.nonblocking_output import NonBlockingOutput
+
 # Limits by kind of line; lines above them are dropped and counted.  At 40 us
 # per line, all kinds together use less than 2% of a core.
 _MAX_LINES_PER_S = types.MappingProxyType(
@@ -19,9 +19,6 @@
 )
 _FLUSH_PERIOD_S = 0.25
 _DROP_REPORT_PERIOD_S = 5.0
-# About 1 MB of lines, buffered while the reader is slow.
-_MAX_BUFFERED_LINES = 4000
-_WRITE_BLOCK_BYTES = 65_536
 _MS_PER_S = 1000
 _OMITTED_FIELDS = frozenset(('task_uuid', 'task_level', 'timestamp'))
 _UNQUOTED_VALUE = re.compile(r'[^\s"=]+')
@@ -40,11 +37,9 @@
     def __init__(self, descriptor: int | None = None) -> None:
         """Create a writer with an empty buffer."""
         self.dropped_lines = 0
-        self._descriptor = (
+        self._output = NonBlockingOutput(
             sys.stdout.fileno() if descriptor is None else descriptor
         )
-        self._lines: collections.deque[bytes] = collections.deque()
-        self._unwritten = b''
         self._current_second = 0
         self._lines_this_second: dict[str, int] = {}
         self._reported_drops = 0
@@ -52,7 +47,7 @@
 
     async def start(self) -> None:
         """Subscribe to events and start flushing."""
-        os.set_blocking(self._descriptor, False)
+        self._output.open()
         eliot.add_destinations(self._enqueue)
         self._tasks = [
             start_supervised('log-flush', self._flush_forever),
@@ -64,7 +59,7 @@
         eliot.remove_destination(self._enqueue)
         for task in self._tasks:
             task.cancel()
-        self._flush()
+        self._output.flush()
 
     def allow_line(self, kind: str) -> bool:
         """Return whether another line of this kind may be written now.
@@ -77,10 +72,7 @@
             self._lines_this_second.clear()
         count = self._lines_this_second.get(kind, 0) + 1
         self._lines_this_second[kind] = count
-        if (
-            count <= _MAX_LINES_PER_S[kind]
-            and len(self._lines) < _MAX_BUFFERED_LINES
-        ):
+        if count <= _MAX_LINES_PER_S[kind] and not self._output.is_full:
             return True
         self.dropped_lines += 1
         return False
@@ -93,12 +85,12 @@
             if name not in _OMITTED_FIELDS
         )
         fields.append('\n')
-        self._lines.append(' '.join(fields).encode(errors='replace'))
+        self._output.add(' '.join(fields).encode(errors='replace'))
 
     async def _flush_forever(self) -> None:
         while True:
             await asyncio.sleep(_FLUSH_PERIOD_S)
-            self._flush()
+            self._output.flush()
 
     async def _report_drops_forever(self) -> None:
         while True:
@@ -108,30 +100,6 @@
                 self._reported_drops = self.dropped_lines
                 eliot.log_message('lines-left-out', count=count)
 
-    def _flush(self) -> None:
-        while self._unwritten or self._lines:
-            if not self._unwritten:
-                self._unwritten = self._take_block()
-            try:
-                written = os.write(self._descriptor, self._unwritten)
-            except BlockingIOError:
-                return
-            except OSError:
-                # The reader has gone, so there is nowhere to report this.
-                self._lines.clear()
-                self._unwritten = b''
-                return
-            self._unwritten = self._unwritten[written:]
-
-    def _take_block(self) -> bytes:
-        block = []
-        size = 0
-        while self._lines and size < _WRITE_BLOCK_BYTES:
-            line = self._lines.popleft()
-            block.append(line)
-            size += len(line)
-        return b''.join(block)
-
 
 def _format_value(field: object) -> str:
     text = str(field)
--- a/packages/node/src/chivelead_node/_internal/proxy/main.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/main.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import gc
+import logging
 import os
 import signal
 import sys
@@ -14,6 +15,7 @@
 from chivelead_platform import ProcessSettings, load_process_settings
 from chivelead_protocol import ConfigurationError
 
+from chivelead_node._internal.nonblocking_output import NonBlockingHandler
 from chivelead_node._internal.proxy.allocator import return_freed_memory
 from chivelead_node._internal.proxy.daemon import ProxyDaemon
 
@@ -27,6 +29,7 @@
     Raises:
         ConfigurationError: A port is in use.
     """
+    logging.getLogger().addHandler(NonBlockingHandler(sys.stderr.fileno()))
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/node/tests/unit/test_log_writer.py
+++ b/packages/node/tests/unit/test_log_writer.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import logging
 import os
 
 import eliot
 import pytest
 from chivelead_node._internal.events import EventLog
 from chivelead_node._internal.log_writer import LogWriter
+from chivelead_node._internal.nonblocking_output import NonBlockingHandler
 from chivelead_protocol import HybridClock
 
 
@@ -60,3 +62,15 @@
             eliot.log_message('seen', text='x' * 100)
         await asyncio.sleep(0.3)
     await writer.close()
+
+
+# Guards against a process that waits for the reader of its warnings.
+async def test_stalled_reader_does_not_block_log_records(pipe):
+    handler = NonBlockingHandler(pipe[1])
+    async with asyncio.timeout(5):
+        for number in range(10_000):
+            handler.handle(
+                logging.makeLogRecord({'msg': f'{number} {"x" * 100}'})
+            )
+    text = os.read(pipe[0], 200_000).decode()
+    assert text.startswith('0 x')
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -103,6 +103,8 @@
             'store_host': HOST,
             'store_port': store.port,
         }
+        # Descriptor that takes the place of the log.
+        self.standard_error = None
         self._process = None
 
     @property
@@ -134,7 +136,9 @@
                 },
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
-                stderr=log,
+                stderr=log
+                if self.standard_error is None
+                else self.standard_error,
             )
 
     def memory_mb(self):
@@ -223,9 +227,15 @@
         organisations=ORGANISATIONS,
         plan_text='',
         slots=None,
+        standard_error=None,
         **plan_options,
     ):
-        """Start the fleet; wait until each node knows the others."""
+        """Start the fleet; wait until each node knows the others.
+
+        Nodes log to files; ``standard_error`` of the first may be another
+        descriptor.
+        """
+        self.nodes[0].standard_error = standard_error
         self._session = aiohttp.ClientSession()
         await self.store.start()
         if self.store_proxy is not None:
