--- a/packages/node/src/chivelead_node/_internal/connection_set.py
+++ b/packages/node/src/chivelead_node/_internal/connection_set.py
@@ -49,8 +49,6 @@
         ends: See the arguments.
         closing: Whether answers ask their clients to close the connection.
             It stays open until they do, since a request may be on its way.
-        is_probing: Whether clients that have closed their sending half are
-            probed while their requests are at work.
         refused_count: Connections that were refused for what they sent.
         ignored_count: Connections that were closed while their clients sent on.
     """
@@ -63,7 +61,6 @@
     ) -> None:
         """Create an empty set."""
         self.closing = False
-        self.is_probing = True
         self.refused_count = 0
         self.ignored_count = 0
         self._events = events
--- a/packages/node/src/chivelead_node/_internal/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/daemon.py
@@ -137,7 +137,6 @@
         components = self.components
         components.events.record_node_event('node-closing')
         self._caller_connections.closing = True
-        self._caller_connections.is_probing = False
         components.ingress.closing = True
         components.set_draining(draining=True)
         # Other nodes learn of the drain first, so that they route new calls
--- a/packages/node/src/chivelead_node/_internal/lingering_transport.py
+++ b/packages/node/src/chivelead_node/_internal/lingering_transport.py
@@ -1,10 +1,13 @@
 """Transport that closes a connection only after its client has read all."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any
 
 from chivelead_protocol import loop_ms, undelivered_bytes
 
+# All answers begin with it, of both versions of HTTP/1.
+_ANSWER_START = b'HTTP/1.'
 _CHECK_PERIOD_S = 0.5
 # A client that has everything closes its side soon after.
 _DELIVERED_LINGER_MS = 1000.0
@@ -35,6 +38,8 @@
         self.input_ended = False
         self.given_up_bytes = 0
         self._transport = transport
+        # Bytes of the next answer that were written before it was known.
+        self._early_bytes = 0
         self._closed_ms = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -43,9 +48,28 @@
         return getattr(self._transport, name)
 
     def write(self, raw: bytes) -> None:
-        """Write bytes."""
+        """Write bytes, except for those of an answer that were sent before."""
+        early_bytes = self._early_bytes
+        if early_bytes:
+            self._early_bytes = 0
+            raw = raw[early_bytes:]
         self._transport.write(raw)
 
+    def writelines(self, parts: Iterable[bytes]) -> None:
+        """Write several parts of an answer."""
+        self.write(b''.join(parts))
+
+    def write_early(self) -> bool:
+        """Write the next byte of the answer that is due.
+
+        Returns:
+            Whether there are more bytes that all answers begin with.
+        """
+        start = self._early_bytes
+        self._early_bytes = min(start + 1, len(_ANSWER_START))
+        self._transport.write(_ANSWER_START[start : self._early_bytes])
+        return self._early_bytes < len(_ANSWER_START)
+
     def is_closing(self) -> bool:
         """Return whether nothing can be written any more."""
         return self.is_lingering or self._transport.is_closing()
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -81,8 +81,6 @@
             HEADERS.request_id,
             self._components.ends,
         )
-        # The work for these requests is short.
-        self._control_connections.is_probing = False
         self._peer_server = PeerServer(
             settings.vm,
             LINK_SECRET,
@@ -145,8 +143,6 @@
             'node-closing', in_flight=components.ingress.in_flight
         )
         self._stopping = True
-        # All requests at work are answered, and their work soon ends.
-        self._caller_connections.is_probing = False
         components.inbound.draining = True
         components.publisher.publish()
         components.membership.update_own(relay=False)
--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -43,7 +43,7 @@
         """Create a handler that the event loop will connect."""
         super().__init__(connections, manager, **options)
         self._asked_to_leave_ms = math.inf
-        self._probe = CallerProbe(self._write_interim, self._find_unanswered)
+        self._probe = CallerProbe(self._send_probe)
 
     @property
     def is_asked_to_leave(self) -> bool:
@@ -192,15 +192,18 @@
             self._open_transport = None
         super().connection_lost(exc)
 
-    def _find_unanswered(self) -> web.BaseRequest | None:
-        """Return the request that is handled if its answer has not begun."""
-        if not self._connections.is_probing or self._exchanges.is_answering:
-            return None
-        return self._current_request
+    def _send_probe(self) -> bool:
+        """Send the client a part of the answer that is due.
 
-    def _write_interim(self, raw: bytes) -> None:
-        if self.transport is not None:
-            self.transport.write(raw)
+        Returns:
+            Whether there are more parts that can be sent before it is known.
+        """
+        transport = self._open_transport
+        if transport is None:
+            return False
+        if self._current_request is None or self._exchanges.is_answering:
+            return True
+        return transport.write_early()
 
     def _find_cause(self, error: BaseException | None) -> EndCause:
         """Return why a connection ended that this node did not close."""
--- a/packages/node/tests/unit/test_request_ends.py
+++ b/packages/node/tests/unit/test_request_ends.py
@@ -17,9 +17,11 @@
 
 _WORK_S = 0.3
 _ENDED_S = 0.6
+_SLOW_WORK_S = 1.5
 _LARGE_ANSWER_BYTES = 20_000_000
 _WORK = b'/work'
 _LARGE = b'/large'
+_SLOW = b'/slow'
 _FAILING = b'/failing'
 _CHUNKED = b'Transfer-Encoding: chunked\r\n'
 _TRAILERS = b'3\r\nabc\r\n0\r\nX-Sum: 1\r\n\r\n'
@@ -43,7 +45,7 @@
         raise ValueError('a fault of the handler')
     if request.path == '/large':
         return web.Response(body=bytes(_LARGE_ANSWER_BYTES))
-    await asyncio.sleep(_WORK_S)
+    await asyncio.sleep(_WORK_S if request.path == '/work' else _SLOW_WORK_S)
     return web.Response(text='hello')
 
 
@@ -107,9 +109,12 @@
 
 
 async def _read_all(sock):
-    received = b'-'
-    while received:
-        received = await asyncio.get_running_loop().sock_recv(sock, 100_000)
+    received = bytearray()
+    part = b'-'
+    while part:
+        part = await asyncio.get_running_loop().sock_recv(sock, 100_000)
+        received += part
+    return bytes(received)
 
 
 async def _leave(sock, how):
@@ -170,6 +175,24 @@
     assert not connections.ends.counts()
 
 
+# Guards against an answer that its client can't read: its first bytes were sent
+# early, to find out whether the client has gone.
+@pytest.mark.parametrize('path', [_SLOW, _FAILING, _LARGE])
+async def test_answer_to_a_half_closed_client_is_whole(path):
+    connections = make_connections()
+    async with serving(_respond, connections) as port:
+        sock = await _open(port)
+        await _send(sock, _encode(path))
+        sock.shutdown(socket.SHUT_WR)
+        received = await _read_all(sock)
+        sock.close()
+    head, _, body = received.partition(b'\r\n\r\n')
+    assert received.count(b'HTTP/1.') == 1
+    assert head.startswith(b'HTTP/1.1 ')
+    length = int(re.search(rb'Content-Length: (\d+)', head)[1])
+    assert len(body) == length
+
+
 # Guards against requests at work that the end of the process leaves without a
 # cause.
 async def test_requests_at_the_end_of_the_process_have_a_cause():
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -413,17 +413,16 @@
         self._socket.shutdown(socket.SHUT_WR)
 
     async def read_response(self, timeout_s=8):
-        """Return the status and the body of the next final response.
+        """Return the status and the body of the next response.
 
         Raises:
             EOFError: The connection ended before the response was whole.
             TimeoutError: The response did not come in time.
         """
         async with asyncio.timeout(timeout_s):
-            head, rest = await self._read_head()
-            while head.startswith(b'HTTP/1.1 100 '):
-                self._received = rest
-                head, rest = await self._read_head()
+            while b'\r\n\r\n' not in self._received:
+                await self._receive()
+            head, _, rest = self._received.partition(b'\r\n\r\n')
             status_line, *fields = head.decode('latin-1').split('\r\n')
             headers = dict(
                 field.lower().split(': ', maxsplit=1) for field in fields
@@ -443,12 +442,6 @@
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self._socket.close()
 
-    async def _read_head(self):
-        while b'\r\n\r\n' not in self._received:
-            await self._receive()
-        head, _, rest = self._received.partition(b'\r\n\r\n')
-        return head, rest
-
     async def _receive(self):
         chunk = await asyncio.get_running_loop().sock_recv(self._socket, 65_536)
         if not chunk:
