Tests: targets under a harmful request announce themselves as on the platform

Its targets announced themselves once, when they started; targets on the platform do so every 1.5 s, and one that is silent for four periods counts as gone. Sending the harmful request 16 times takes 6.4 s, so the targets are lost around the restart: the last of the others 0.02 s before the request, the own one of the node 1.6 s before, and the restarted node had not probed it yet. The 503 was true: its line says ending=no-target, no VM, outcome=not-run.

Change: the targets that run announce themselves every 1.5 s. The check is the same, and the first test of the file has its targets for as long as it needs them.

--- a/tests/functional/test_platform_deadly_requests.py
+++ b/tests/functional/test_platform_deadly_requests.py
@@ -6,12 +6,14 @@
 import math
 import secrets
 
+import aiohttp
 import pytest
 from aiohttp.test_utils import make_mocked_request
 from chivelead_node._internal.proxy.harmful_request_api import (
     HarmfulRequestApi,
 )
 from chivelead_protocol import target_end_messages
+from lib.loopback_proxy import cancel_all
 from lib.platform_fleet import (
     deregister,
     restart_node,
@@ -22,6 +24,7 @@
 _TARGETS = 4
 _REPETITIONS = 16
 _RESTART_S = 0.4
+_ANNOUNCEMENT_PERIOD_S = 1.5
 # Three ends under the same request show that it is harmful; three more are left
 # for nodes that have not heard of it yet.
 _MAX_ENDS = 6
@@ -30,20 +33,43 @@
 
 
 class CrashingTargets:
-    """Targets that end when they run one request, and start again."""
+    """Targets that end when they run one request, and start again.
+
+    As on the platform, those that run announce themselves periodically.
+    """
 
     def __init__(self, fleet):
         """Let each target of the fleet end under the request."""
         self.ends = 0
         self._fleet = fleet
+        self._running = set(range(len(fleet.targets)))
         self._tasks = set()
         for index, target in enumerate(fleet.targets):
             target.response_handler = self._make_handler(index)
 
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def announced(cls, fleet):
+        """Announce the targets of a fleet for the duration of a test."""
+        targets = cls(fleet)
+        announcing = asyncio.create_task(targets._announce_forever())
+        try:
+            yield targets
+        finally:
+            await cancel_all([announcing])
+
     async def close(self):
         """Wait until all targets run again."""
         await asyncio.gather(*self._tasks)
 
+    async def _announce_forever(self):
+        while True:
+            await asyncio.sleep(_ANNOUNCEMENT_PERIOD_S)
+            for index in tuple(self._running):
+                # The node may be restarting.
+                with contextlib.suppress(aiohttp.ClientError):
+                    await self._fleet.announce(index)
+
     def _make_handler(self, index):
         target = self._fleet.targets[index]
 
@@ -51,6 +77,7 @@
             if request.path != _DEADLY_PATH:
                 return target.make_response(request)
             self.ends += 1
+            self._running.discard(index)
             task = asyncio.create_task(self._end_and_start_again(index))
             self._tasks.add(task)
             # Without a response; the connection breaks off.
@@ -67,6 +94,7 @@
         target.target_id = f'i-{secrets.token_hex(4)}'
         target.started_ms += 1000
         await target.start()
+        self._running.add(index)
         await self._fleet.announce(index)
 
 
@@ -74,8 +102,10 @@
 # callers repeat it under new IDs, and no node remembers what it did.
 async def test_request_under_which_targets_end_is_soon_sent_no_more():
     services = ('stock' for _ in range(_TARGETS))
-    async with running_fleet(*services) as fleet:
-        targets = CrashingTargets(fleet)
+    async with (
+        running_fleet(*services) as fleet,
+        CrashingTargets.announced(fleet) as targets,
+    ):
         statuses = []
         for repetition in range(_REPETITIONS):
             sender = repetition % _TARGETS
@@ -115,8 +145,10 @@
 @contextlib.asynccontextmanager
 async def _fleet_with_harmful_request():
     services = ('stock' for _ in range(_TARGETS))
-    async with running_fleet(*services) as fleet:
-        targets = CrashingTargets(fleet)
+    async with (
+        running_fleet(*services) as fleet,
+        CrashingTargets.announced(fleet) as targets,
+    ):
         await _condemn_request(fleet, targets)
         yield fleet, targets
 
@@ -124,8 +156,10 @@
 # Guards against the loss of innocent requests that run beside a harmful one.
 async def test_requests_beside_a_harmful_one_are_served_in_the_end():
     services = ('stock' for _ in range(_TARGETS))
-    async with running_fleet(*services) as fleet:
-        targets = CrashingTargets(fleet)
+    async with (
+        running_fleet(*services) as fleet,
+        CrashingTargets.announced(fleet) as targets,
+    ):
         for repetition in range(_REPETITIONS):
             await asyncio.gather(
                 fleet.send_request(repetition % _TARGETS, _DEADLY_PATH),
