--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -25,6 +25,8 @@
 
 METRICS_PORT = 9464
 _START_TIMEOUT_S = 20
+# Tests seed the generator that they share.
+_system_random = random.SystemRandom()
 # The state of a target is known to all nodes by then.
 _REPORTS_S = 1.5
 _SETTINGS = """
@@ -74,13 +76,23 @@
 """
 
 
+def _choose_address():
+    """Return a loopback address on which no other node runs."""
+    while True:
+        network = _system_random.randrange(10, 250)
+        address = f'127.{network}.{_system_random.randrange(250)}.7'
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((address, METRICS_PORT))
+            return address
+
+
 class NodeProcess:
     """The process of one node; it logs to a file."""
 
     def __init__(self, vm, target, store, folder, failure_domain='z1'):
         """Choose an address and ports without starting the process."""
         self.vm = vm
-        self.ip = f'127.{random.randrange(10, 250)}.{random.randrange(250)}.7'
+        self.ip = _choose_address()
         ports = free_ports(5)
         self.callers_port = ports[0]
         self.probes_port = ports[1]
@@ -271,11 +283,20 @@
         self._folder.cleanup()
 
     async def wait_until_joined(self, node):
-        """Wait until a node is ready and knows all others as ready."""
+        """Wait until a node is ready and knows all others as ready.
+
+        Raises:
+            ChildProcessError: The process of the node has ended.
+        """
         async with asyncio.timeout(_START_TIMEOUT_S):
             while await self.level(node, 'peers') < len(self.nodes):
                 await asyncio.sleep(0.05)
-        await wait_until(lambda: node.log_lines('target-state'))
+        # Another process may serve the metrics at its address.
+        await wait_until(
+            lambda: node.log_lines('target-state') or not node.is_running()
+        )
+        if not node.is_running():
+            raise ChildProcessError(node.log_path.read_text(errors='replace'))
         await asyncio.sleep(_REPORTS_S)
 
     async def wait_until_ready(self, node):
