--- a/tests/functional/test_request_soak_check.py
+++ b/tests/functional/test_request_soak_check.py
@@ -360,3 +360,8 @@
 def test_process_over_its_memory_is_a_fault(disturbances, found):
     history = make_history(memory_ends=[(0, 10.0)], disturbances=disturbances)
     assert rules(history) == found
+
+
+# Guards against ends of requests that no cause of the node explains.
+def test_end_without_a_listed_cause_is_a_fault():
+    assert rules(make_history(unlisted_ends=['why=unlisted'])) == ['Fault']
--- a/tests/lib/request_soak.py
+++ b/tests/lib/request_soak.py
@@ -11,9 +11,11 @@
 import shutil
 import signal
 
+import aiohttp
+
 from lib.fake_platform import make_plan_text
 from lib.loopback_proxy import LoopbackProxy, cancel_all
-from lib.node_process import ProcessFleet
+from lib.node_process import METRICS_PORT, ProcessFleet
 from lib.request_soak_check import (
     STABLE_S,
     Disturbance,
@@ -48,6 +50,8 @@
 )
 _FLEET_DOMAINS = ('z1', 'z2', 'z3', 'z4')
 _MOST_CLIENT_DELAY_S = 0.03
+_UNLISTED_COUNT = 'chivelead_unanswered_total{cause="unlisted"} '
+_UNLISTED_LINE = 'why=unlisted'
 # Keeps the logs of the nodes and the history of each seed.
 _LOG_FOLDER = 'CHIVELEAD_SOAK_LOGS'
 _FAMILIES = ('kill', 'freeze', 'harm_target', 'upload')
@@ -137,6 +141,7 @@
                 Disturbance('start', None, 0, self.now_s())
             )
             await self._run_tasks()
+            await self._read_counts()
         finally:
             await self._close()
 
@@ -187,6 +192,22 @@
         # Transports end after their connections were closed.
         await asyncio.sleep(_CLOSING_S)
 
+    async def _read_counts(self):
+        """Note the ends of requests for which nodes know no cause."""
+        for node in self.nodes:
+            lines = node.log_lines(_UNLISTED_LINE)
+            with contextlib.suppress(aiohttp.ClientError):
+                text = await self._fleet.get_text(
+                    node, METRICS_PORT, '/metrics'
+                )
+                lines.extend(
+                    f'{node.vm}: {line}'
+                    for line in text.splitlines()
+                    if line.startswith(_UNLISTED_COUNT)
+                    and float(line.removeprefix(_UNLISTED_COUNT))
+                )
+            self.history.unlisted_ends.extend(lines)
+
     def _keep_logs(self):
         """Copy the logs and the history if a folder for them is named."""
         if not os.environ.get(_LOG_FOLDER):
--- a/tests/lib/request_soak_check.py
+++ b/tests/lib/request_soak_check.py
@@ -119,6 +119,8 @@
     memory_ends: list[tuple[int, float]] = dataclasses.field(
         default_factory=list
     )
+    # Counts and log lines of nodes about ends without a cause.
+    unlisted_ends: list[str] = dataclasses.field(default_factory=list)
     # Bytes that came on a connection without a request.
     stray_bytes: list[bytes] = dataclasses.field(default_factory=list)
 
@@ -399,3 +401,9 @@
         harmless = ('store', 'memory')
         if not history.is_disturbed(node, ended_s - 1, ended_s, harmless):
             yield f'Fault: node {node} ended over its memory at {ended_s:.2f} s'
+
+
+@_check
+def _unlisted(history):
+    for line in history.unlisted_ends:
+        yield f'Fault: a request ended for no listed cause: {line}'
