--- a/tests/functional/test_request_soak_check.py
+++ b/tests/functional/test_request_soak_check.py
@@ -204,6 +204,39 @@
     assert rules(history) == found
 
 
+# Guards against answers of a stopping node in the place of a target at work.
+@pytest.mark.parametrize(
+    ('call_fields', 'run_fields', 'stop_s', 'found'),
+    [
+        ({}, {}, 9.0, ['LOST']),
+        ({}, {'done_s': 14.8}, 9.0, ['LOST']),
+        ({}, {'broke_off': True}, 9.0, []),
+        ({}, {}, 10.6, []),
+        ({'ended_s': 15.1}, {}, 10.0, []),
+        ({'ended_s': 14.6}, {}, 9.0, []),
+        ({'ended_s': 14.6, 'sent_s': 12.1}, {}, 9.0, ['LOST']),
+    ],
+)
+def test_target_at_work_is_not_replaced(call_fields, run_fields, stop_s, found):
+    fields = {**_NO_ANSWER, 'status': 504, **call_fields}
+    stop = Disturbance('stop', 0, stop_s, stop_s + 5.6)
+    assert rules(make_history(fields, run_fields, disturbances=[stop])) == found
+
+
+# Guards against cuts blamed on a configuration that are as frequent without.
+def test_cuts_as_frequent_as_at_other_times_are_not_counted():
+    history = make_history({'ended_s': 10.9})
+    history.runs.clear()
+    history.calls['id-1'].stamp = ''
+    history.calls['id-1'].status = 503
+    history.disturbances.append(Disturbance('edit', None, 10.0, 10.6))
+    for request_id, ended_s in (('id-2', 10.4), ('id-3', 10.8)):
+        history.calls[request_id] = dataclasses.replace(
+            _CALL, **_CUT, request_id=request_id, ended_s=ended_s
+        )
+    assert not rules(history)
+
+
 # Guards against half-closing callers whose requests are given up.
 @pytest.mark.parametrize('safe', [False, True])
 def test_answer_to_a_half_closing_caller(safe):
@@ -234,6 +267,10 @@
         ({}, Disturbance('hangup', 0, 7.4, 7.4), []),
         ({}, Disturbance('hangup', 0, 10.45, 10.45), []),
         ({}, Disturbance('hangup', 1, 9.0, 9.0), []),
+        # A request that is cut beside a new configuration.
+        ({}, Disturbance('edit', None, 9.0, 12.5), ['LOST']),
+        ({}, Disturbance('edit', None, 10.45, 14.0), []),
+        ({'ended_s': 13.6}, Disturbance('edit', None, 13.0, 16.5), []),
     ],
 )
 def test_request_that_was_read_in_planned_work_is_answered(
--- a/tests/lib/request_soak.py
+++ b/tests/lib/request_soak.py
@@ -17,6 +17,7 @@
 from lib.loopback_proxy import LoopbackProxy, cancel_all
 from lib.node_process import METRICS_PORT, ProcessFleet
 from lib.request_soak_check import (
+    CONFIG_S,
     STABLE_S,
     Disturbance,
     History,
@@ -452,6 +453,10 @@
     def _put_plan(self, guest_key):
         self._plan_key = guest_key
         self._version += self._random.randint(1, 9)
+        now_s = self.now_s()
+        self.history.disturbances.append(
+            Disturbance('edit', None, now_s, now_s + CONFIG_S + 1)
+        )
         self._fleet.store.put('op/config', self._make_plan_text(guest_key))
 
     def _make_plan_text(self, guest_key='another-key'):
--- a/tests/lib/request_soak_check.py
+++ b/tests/lib/request_soak_check.py
@@ -20,6 +20,12 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # What may be going on when a node has to answer as at any other time.
 _PLANNED = ('stop', 'start', 'store')
+# Never a reason for anything to go wrong.
+_HARMLESS = frozenset(('hangup', 'edit'))
+# Beside a new configuration, cuts count if they are so many times as frequent
+# as at other times, and not after this share of their time.
+_CUT_FACTOR = 3
+_TIME_SHARE = 0.7
 _DENIALS = frozenset((400, 401, 403, 404, 405, 411, 413, 414, 415, 431, 500))
 
 # Nothing more can be read on a connection after such an answer of the node.
@@ -131,7 +137,7 @@
     def is_disturbed(self, node, start_s, end_s, harmless=()):
         """Return whether a node was disturbed in a span of time."""
         return any(
-            disturbance.kind not in {'hangup', *harmless}
+            disturbance.kind not in _HARMLESS.union(harmless)
             and disturbance.node in {None, node}
             and disturbance.start_s <= end_s
             and disturbance.end_s >= start_s
@@ -305,9 +311,38 @@
         call.sent_s - CONFIG_S <= hangup.start_s <= end_s
         for hangup in history.disturbances_of('hangup', call.entry)
     )
+    if not is_planned and _is_beside_edit(history, call):
+        is_planned = (
+            call.ended_s - call.sent_s < _TIME_SHARE * call.deadline_s
+            and _is_cut_more_beside_edits(history, call.entry)
+        )
     return is_planned and end_s - call.whole_s - call.path_s > LOSS_SLACK_S
 
 
+def _is_beside_edit(history, call):
+    return any(
+        edit.start_s <= call.ended_s <= edit.end_s
+        for edit in history.disturbances_of('edit', None)
+    )
+
+
+def _is_cut_more_beside_edits(history, node):
+    """Return whether a node cuts far more calls beside edits than else."""
+    cuts = {True: 0, False: 0}
+    counts = {True: 0, False: 0}
+    for call in history.calls.values():
+        if call.entry == node and not history.is_disturbed(
+            node, call.sent_s - STABLE_S, call.ended_s
+        ):
+            is_beside = _is_beside_edit(history, call)
+            counts[is_beside] += 1
+            cuts[is_beside] += call.end == 'cut'
+    # Shares of all calls, without a division.
+    return cuts[True] * max(counts[False], 1) > (
+        _CUT_FACTOR * cuts[False] * counts[True]
+    )
+
+
 def _is_cut_excused(history, call, runs):
     if call.ended_s >= call.sent_s + call.deadline_s:
         return True
@@ -362,6 +397,32 @@
             )
 
 
+@_check
+def _given_up(history):
+    """Find targets at work in whose place a stopping node answered."""
+    for call in history.calls.values():
+        if (
+            call.end != 'answered'
+            or call.stamp
+            or not any(
+                stop.start_s <= call.ended_s <= stop.end_s + 1 + call.path_s
+                for stop in history.disturbances_of('stop', call.entry)
+            )
+        ):
+            continue
+        runs = history.runs_of(call.request_id)
+        is_at_work = any(
+            run.done_s is None or run.done_s > call.ended_s for run in runs
+        )
+        if is_at_work and not _is_cut_excused(history, call, runs):
+            yield (
+                f'LOST: {call.request_id} {call.method} {call.path} got '
+                f'{call.status} of stopping node {call.entry} after '
+                f'{call.ended_s - call.sent_s:.2f} s while its target was at '
+                f'work; client: {call.habits}'
+            )
+
+
 @_check
 def _late(history):
     for call in history.calls.values():
@@ -369,7 +430,7 @@
             disturbance.start_s <= call.ended_s
             and disturbance.end_s >= call.sent_s - STABLE_S
             for disturbance in history.disturbances
-            if disturbance.kind not in {'store', 'hangup'}
+            if disturbance.kind not in _HARMLESS | {'store'}
         ):
             yield (
                 f'CONFIG: {call.request_id} {call.method} {call.path} has no '
