--- a/tests/lib/request_soak.py
+++ b/tests/lib/request_soak.py
@@ -5,17 +5,15 @@
 import contextlib
 import functools
 import json
-import os
-import pathlib
 import random
-import shutil
 import signal
-
-import aiohttp
+import time
+from concurrent import futures
 
 from lib.fake_platform import make_plan_text
 from lib.loopback_proxy import LoopbackProxy, cancel_all
-from lib.node_process import METRICS_PORT, ProcessFleet
+from lib.node_process import ProcessFleet
+from lib.request_soak_builds import new_build_clients
 from lib.request_soak_check import (
     CONFIG_S,
     STABLE_S,
@@ -25,13 +23,14 @@
 )
 from lib.request_soak_clients import new_client
 from lib.request_soak_crossing import HABITS, new_crossing_client
+from lib.request_soak_logs import keep_logs, read_unlisted_ends
 from lib.request_soak_targets import RawTarget, happens
 
 _SOAK_S = 14.0
 _SETTLING_S = 3.0
 _CLOSING_S = 0.2
 _CLIENTS_PER_NODE = 6
-_MEMORY_LIMIT_KB = 300_000
+_MEMORY_LIMIT_MB = 300
 _MEMORY_PERIOD_S = 0.02
 _PROBE_PERIOD_S = 0.08
 _MAX_BODY_BYTES = 67_108_864
@@ -51,10 +50,6 @@
 )
 _FLEET_DOMAINS = ('z1', 'z2', 'z3', 'z4')
 _MOST_CLIENT_DELAY_S = 0.03
-_UNLISTED_COUNT = 'chivelead_unanswered_total{cause="unlisted"} '
-_UNLISTED_LINE = 'why=unlisted'
-# Keeps the logs of the nodes and the history of each seed.
-_LOG_FOLDER = 'CHIVELEAD_SOAK_LOGS'
 _FAMILIES = ('kill', 'freeze', 'harm_target', 'upload')
 # Planned work, at any time and beside the others.
 _PLANNED_FAMILIES = ('hangup', 'stop', 'edit')
@@ -95,14 +90,17 @@
         self.client_proxies = [
             LoopbackProxy(node.callers_port, node.ip) for node in self.nodes
         ]
-        self._started_s = asyncio.get_running_loop().time()
+        self._started_s = time.monotonic()
+        # For the clients that block one each.
+        self.threads = futures.ThreadPoolExecutor(2 * len(self.nodes))
+        self.is_over = False
         self._busy = set()
         self._stopping = set()
         self._gone = set()
         self._closed = {}
         self._version = 5
         self._guest_key = ''
-        self._peak_kb = 0
+        self._peak_mb = 0
         self._store_harmed_s = -STABLE_S
         self._harms_store = not is_large and happens(self._random, 50)
         self._plan_key = 'another-key'
@@ -114,7 +112,7 @@
 
     def now_s(self):
         """Return the time since the start of the soak."""
-        return asyncio.get_running_loop().time() - self._started_s
+        return time.monotonic() - self._started_s
 
     def is_open(self, node):
         """Return whether clients send new requests to a node."""
@@ -142,7 +140,7 @@
                 Disturbance('start', None, 0, self.now_s())
             )
             await self._run_tasks()
-            await self._read_counts()
+            self.history.unlisted_ends = await read_unlisted_ends(self._fleet)
         finally:
             await self._close()
 
@@ -159,7 +157,7 @@
             f'{self.families}, '
             f'victims {self._victims}, store {self._harms_store}, '
             f'disturbances {dict(kinds)}, ends {dict(ends)}, '
-            f'most memory {self._peak_kb // 1000} MB'
+            f'most memory {self._peak_mb:.0f} MB'
         )
 
     def _choose(self):
@@ -185,50 +183,15 @@
         return ('stock', 'orders', 'stock', 'orders')[:node_count]
 
     async def _close(self):
-        self._keep_logs()
+        keep_logs(self.nodes, self.history, self._seed)
         for proxy in self.client_proxies:
             if proxy.is_started:
                 await proxy.close()
         await self._fleet.close()
+        await asyncio.to_thread(self.threads.shutdown)
         # Transports end after their connections were closed.
         await asyncio.sleep(_CLOSING_S)
 
-    async def _read_counts(self):
-        """Note the ends of requests for which nodes know no cause."""
-        for node in self.nodes:
-            lines = node.log_lines(_UNLISTED_LINE)
-            with contextlib.suppress(aiohttp.ClientError):
-                text = await self._fleet.get_text(
-                    node, METRICS_PORT, '/metrics'
-                )
-                lines.extend(
-                    f'{node.vm}: {line}'
-                    for line in text.splitlines()
-                    if line.startswith(_UNLISTED_COUNT)
-                    and float(line.removeprefix(_UNLISTED_COUNT))
-                )
-            self.history.unlisted_ends.extend(lines)
-
-    def _keep_logs(self):
-        """Copy the logs and the history if a folder for them is named."""
-        if not os.environ.get(_LOG_FOLDER):
-            return
-        folder = pathlib.Path(os.environ[_LOG_FOLDER]) / f'seed-{self._seed}'
-        folder.mkdir(parents=True, exist_ok=True)
-        for node in self.nodes:
-            shutil.copy(node.log_path, folder)
-        lines = [
-            repr(record)
-            for records in (
-                self.history.disturbances,
-                self.history.keys.items(),
-                self.history.calls.values(),
-                self.history.runs,
-            )
-            for record in records
-        ]
-        (folder / 'history.txt').write_text('\n'.join(lines))
-
     async def _run_tasks(self):
         watching = [
             asyncio.create_task(self._watch_memory(index))
@@ -251,6 +214,11 @@
             for index, _ in enumerate(self.nodes)
             for habit in HABITS
         )
+        clients.extend(
+            asyncio.create_task(client.run_forever())
+            for index, _ in enumerate(self.nodes)
+            for client in new_build_clients(self, index, self._seed)
+        )
         clients.append(asyncio.create_task(self._probe_forever()))
         disturbing = [
             asyncio.create_task(self._repeat(name)) for name in self.families
@@ -265,6 +233,7 @@
                 if task.done():
                     task.result()
         finally:
+            self.is_over = True
             await cancel_all(tasks)
 
     async def _repeat(self, family):
@@ -409,10 +378,12 @@
         """End a process that exceeds the memory limit."""
         while True:
             await asyncio.sleep(_MEMORY_PERIOD_S)
-            process = self.nodes[node]
-            used_kb = _anonymous_kb(process.pid) if process.is_running() else 0
-            self._peak_kb = max(self._peak_kb, used_kb)
-            if used_kb > _MEMORY_LIMIT_KB:
+            used_mb = 0
+            if self.nodes[node].is_running():
+                with contextlib.suppress(OSError):
+                    used_mb = self.nodes[node].memory_mb()
+            self._peak_mb = max(self._peak_mb, used_mb)
+            if used_mb > _MEMORY_LIMIT_MB:
                 self.history.memory_ends.append((node, self.now_s()))
                 await self._end_over_memory(node)
 
@@ -486,13 +457,3 @@
             if self._guest_key and self.is_open(node):
                 await client.probe(self._guest_key)
             await asyncio.sleep(_PROBE_PERIOD_S)
-
-
-def _anonymous_kb(pid):
-    with contextlib.suppress(OSError, StopIteration):
-        status = pathlib.Path(f'/proc/{pid}/status').read_text()
-        line = next(
-            line for line in status.splitlines() if line.startswith('RssAnon')
-        )
-        return int(line.split()[1])
-    return 0
--- a/tests/lib/request_soak_clients.py
+++ b/tests/lib/request_soak_clients.py
@@ -22,13 +22,14 @@
 )
 
 # A client that has no answer by then closes the connection.
-_PATIENCE_S = 1.5
-_CONNECT_TIMEOUT_S = 1.0
+PATIENCE_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
 _BLOCK_BYTES = 65_536
 # As on Ethernet; loopback would take megabytes into its buffers.
 _SEGMENT_BYTES = 1448
 _SMALL_BUFFER_BYTES = 8192
 SAFE_PREFIXES = frozenset(('/read/', '/bales/'))
+_SMALL_BLOCK_SIZES = (1, 300)
 _BLOCK_SIZES = (1, 300, 20_000, 300_000)
 _READERS = ('prompt',) * 5 + ('late', 'late', 'slow', 'leaving', 'stopped')
 
@@ -141,7 +142,7 @@
             )
         sock.setblocking(False)
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().sock_connect(
                     sock, self._address()
                 )
@@ -200,6 +201,14 @@
         call.body_digest = body.digest() if body else digest(b'')
         return call, headers, body
 
+    def _make_small_call(self):
+        """Return a call whose request fits into one segment."""
+        return self._make_call(
+            prefix=self._rng.choice(self._soak.prefixes),
+            answer_sizes=(20, 5000),
+            block_sizes=_SMALL_BLOCK_SIZES,
+        )
+
 
 def _encode(encoding, body):
     """Return an encoded body; for some encodings it cannot be decoded."""
@@ -331,7 +340,7 @@
 
     async def _read(self, call, index):
         """Read an answer; return whether the connection can be used again."""
-        wait_s = call.deadline_s + _PATIENCE_S
+        wait_s = call.deadline_s + PATIENCE_S
         try:
             async with asyncio.timeout(wait_s):
                 is_kept = await self._read_answer(call, index)
@@ -412,15 +421,30 @@
         return await self.reader.read(min(most_bytes, _BLOCK_BYTES))
 
 
+def header_fields(call, headers):
+    """Return the header of a request as names and values."""
+    fields = {
+        'Host': 'shop.example',
+        'X-Request-Id': call.request_id,
+        'X-Deadline-Ms': f'{call.deadline_s * 1000:.0f}',
+    }
+    if call.key:
+        fields['Authorization'] = f'Token {call.key}'
+    for line in headers:
+        name, _, field = line.decode('latin-1').partition(': ')
+        fields[name] = field
+    return fields
+
+
 def serialize(call, headers, body):
     """Yield the bytes of a request."""
+    fields = header_fields(call, headers)
     lines = [
         f'{call.method} {call.path} HTTP/1.1'.encode(),
-        b'Host: shop.example',
-        f'X-Request-Id: {call.request_id}'.encode(),
-        f'X-Deadline-Ms: {call.deadline_s * 1000:.0f}'.encode(),
-        f'Authorization: Token {call.key}'.encode(),
-        *headers,
+        *(
+            f'{name}: {field}'.encode('latin-1')
+            for name, field in fields.items()
+        ),
     ]
     if body is None:
         yield b'\r\n'.join((*lines, b'', b''))
--- a/tests/lib/request_soak_crossing.py
+++ b/tests/lib/request_soak_crossing.py
@@ -11,7 +11,7 @@
 from lib.request_soak_targets import happens
 
 # How clients send, by turns.
-HABITS = ('idle', 'spaced', 'expecting', 'delayed', 'frozen')
+HABITS = ('idle', 'spaced', 'expecting', 'delayed', 'frozen', 'half-closing')
 _READERS = ('prompt', 'prompt', 'late', 'slow')
 # An idle client sends nothing for this time, or until a stop comes.
 _IDLE_S = 8.0
@@ -25,7 +25,6 @@
 _FROZEN_S = 3.0
 _THAWING_S = 0.01
 _MOST_REQUESTS = 4
-_SMALL_BLOCKS = (1, 300)
 
 
 class CrossingClient(Client):
@@ -55,6 +54,8 @@
         if connection is None:
             return
         try:
+            if self._habit == 'half-closing':
+                await self._rest()
             while not connection.reader.at_eof():
                 exchanges = [
                     self._make_small_call() for _ in range(self._count())
@@ -74,11 +75,7 @@
 
     def _make_small_call(self):
         """Return a call whose request fits into one segment."""
-        exchange = self._make_call(
-            prefix=self._rng.choice(self._soak.prefixes),
-            answer_sizes=(20, 5000),
-            block_sizes=_SMALL_BLOCKS,
-        )
+        exchange = super()._make_small_call()
         if self._habit == 'delayed':
             # A chunk that is under way goes first.
             exchange[0].path_s = (
@@ -88,7 +85,7 @@
 
     async def _rest(self):
         """Wait between two exchanges; an idle client waits for a stop."""
-        if self._habit != 'idle':
+        if self._habit not in {'idle', 'half-closing'}:
             await asyncio.sleep(self._rng.random() * 0.4)
             return
         with contextlib.suppress(TimeoutError):
@@ -116,6 +113,8 @@
     async def exchange(self, exchanges, close_percent=0):
         for exchange in exchanges:
             exchange[0].habits = f'{self._habit}, '
+        if self._habit == 'half-closing':
+            close_percent = 100
         return await super().exchange(exchanges, close_percent)
 
     async def _pause_before_sending(self, call):
