--- a/tests/functional/test_platform_request_soak.py
+++ b/tests/functional/test_platform_request_soak.py
@@ -2,7 +2,7 @@
 
 Three seeds run with the other tests.  For others, name a range of seeds:
 ``CHIVELEAD_SOAK_SEEDS=100-149``.  With ``CHIVELEAD_SOAK_LARGE=1``, fleets have
-16 nodes that stop in series and at once.
+16 nodes that stop in series and at once, beside all other disturbances.
 """
 
 import os
--- a/tests/lib/request_soak.py
+++ b/tests/lib/request_soak.py
@@ -42,6 +42,16 @@
     ('/book/', 'orders', 'unsafe', {'timeout_ms': 5000}),
     ('/put/', 'orders', 'upload', {'timeout_ms': 5000}),
 )
+# Routes that targets call.
+_CALLEES = (
+    ('/item/', 'stock', 'safe', {'timeout_ms': 5000, 'allow_anonymous': True}),
+    (
+        '/hold/',
+        'orders',
+        'unsafe',
+        {'timeout_ms': 5000, 'allow_anonymous': True},
+    ),
+)
 # Of a fleet of the size that users run.
 _FLEET_SERVICES = ('stock', 'orders', 'bales', 'members') * 4
 _FLEET_ROUTES = (
@@ -50,7 +60,19 @@
 )
 _FLEET_DOMAINS = ('z1', 'z2', 'z3', 'z4')
 _MOST_CLIENT_DELAY_S = 0.03
+_LONGEST_DOWN_S = 5.0
 _FAMILIES = ('kill', 'freeze', 'harm_target', 'upload')
+_FLEET_FAMILIES = (
+    'stop',
+    'stop',
+    'stop',
+    'hangup',
+    'edit',
+    'kill',
+    'freeze',
+    'harm_target',
+    'harm_store',
+)
 # Planned work, at any time and beside the others.
 _PLANNED_FAMILIES = ('hangup', 'stop', 'edit')
 
@@ -60,8 +82,8 @@
 
     Args:
         seed: Chooses the fleet, the disturbances and what clients do.
-        is_large: Whether to run a fleet of the size that users run, with stops
-            that overlap and no other disturbance.
+        is_large: Whether to run a fleet of the size that users run, with all
+            disturbances and stops that overlap.
     """
 
     def __init__(self, seed, *, is_large=False):
@@ -74,13 +96,14 @@
         self._is_large = is_large
         if is_large:
             services = _FLEET_SERVICES
-            self.families = ['stop', 'stop', 'stop', 'hangup', 'edit']
+            self.families = list(_FLEET_FAMILIES)
             self._victims = list(range(len(services)))
             self._domains = _FLEET_DOMAINS
         else:
             services = self._choose()
         self._routes = (*_ROUTES, *_FLEET_ROUTES) if is_large else _ROUTES
         self.prefixes = [route[0] for route in self._routes]
+        self.callees = [route[0] for route in _CALLEES]
         self._fleet = ProcessFleet(
             *services,
             make_target=functools.partial(RawTarget, soak=self),
@@ -114,6 +137,10 @@
         """Return the time since the start of the soak."""
         return time.monotonic() - self._started_s
 
+    async def call(self, node, prefix, deadline_s):
+        """Call a route for a target; return whether the call succeeded."""
+        return await new_client(self, node, None).call(prefix, deadline_s)
+
     def is_open(self, node):
         """Return whether clients send new requests to a node."""
         closing_s = self._closed.get(node)
@@ -335,12 +362,20 @@
             sending.append(client.upload(size, happens(self._random, 50)))
         await asyncio.gather(*sending)
 
-    async def _harm_store(self):
-        """Harm the connections to the store, which is never down."""
+    async def _harm_store(self, _=None):
+        """Harm the connections to the store, which large fleets also lose."""
         if self.now_s() < self._store_harmed_s + STABLE_S + 1:
             return
         self._store_harmed_s = self.now_s()
-        how = self._random.choice(('silent',) * 4 + ('reset', 'slow'))
+        how = self._random.choice(
+            ('silent',) * 4 + ('reset', 'slow') + ('down',) * 3 * self._is_large
+        )
+        if how == 'down':
+            async with self._disturbing('store', None):
+                self._fleet.store.error_status = 503
+                await asyncio.sleep(self._random.random() * _LONGEST_DOWN_S)
+                self._fleet.store.error_status = 0
+            return
         if how == 'slow':
             await self._slow_store_down()
             return
@@ -433,6 +468,7 @@
     def _make_plan_text(self, guest_key='another-key'):
         routes = (
             *self._routes,
+            *_CALLEES,
             (f'/new-{self._version}/', 'stock', 'safe', {}),
         )
         organisations = (('mill', 'mill-key', {}), ('guest', guest_key, {}))
--- a/tests/lib/request_soak_clients.py
+++ b/tests/lib/request_soak_clients.py
@@ -28,7 +28,7 @@
 # As on Ethernet; loopback would take megabytes into its buffers.
 _SEGMENT_BYTES = 1448
 _SMALL_BUFFER_BYTES = 8192
-SAFE_PREFIXES = frozenset(('/read/', '/bales/'))
+SAFE_PREFIXES = frozenset(('/read/', '/bales/', '/item/'))
 _SMALL_BLOCK_SIZES = (1, 300)
 _BLOCK_SIZES = (1, 300, 20_000, 300_000)
 _READERS = ('prompt',) * 5 + ('late', 'late', 'slow', 'leaving', 'stopped')
@@ -128,6 +128,29 @@
             finally:
                 connection.close()
 
+    async def call(self, prefix, deadline_s):
+        """Send a call of the target beside the node.
+
+        Returns:
+            Whether it succeeded.
+        """
+        connection = await self._connect('prompt')
+        if connection is None:
+            return False
+        exchange = self._make_call(prefix, None, (20, 5000), _SMALL_BLOCK_SIZES)
+        call = exchange[0]
+        call.organisation = ''
+        call.key = ''
+        call.deadline_s = deadline_s
+        call.habits = 'target, '
+        try:
+            await connection.exchange([exchange], close_percent=0)
+        finally:
+            connection.close()
+            if self._soak.is_over:
+                call.end = 'left'
+        return call.status == 200
+
     def _service(self):
         return self._soak.nodes[self._entry].target.service
 
@@ -174,6 +197,7 @@
         body=None,
         answer_sizes=SIZES,
         block_sizes=_BLOCK_SIZES,
+        callees=(),
     ):
         """Return a call, its header lines and its body."""
         rng = self._rng
@@ -191,7 +215,7 @@
             caller_service=self._service(),
             safe=is_safe,
         )
-        headers = [b'X-Play: %b' % make_play(rng, answer_sizes)]
+        headers = [b'X-Play: %b' % make_play(rng, answer_sizes, callees)]
         if call.note:
             headers.append(b'X-Note: %b' % call.note)
         if body and body.size == len(body.block) and happens(rng, 15):
@@ -207,6 +231,7 @@
             prefix=self._rng.choice(self._soak.prefixes),
             answer_sizes=(20, 5000),
             block_sizes=_SMALL_BLOCK_SIZES,
+            callees=self._soak.callees,
         )
 
 
--- a/tests/lib/request_soak_targets.py
+++ b/tests/lib/request_soak_targets.py
@@ -18,6 +18,7 @@
 _SLOTS = 64
 _CHUNK_BYTES = 65_536
 _PIECE_S = 0.03
+_CALLING_PERCENT = 25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,7 +26,8 @@
     """How a target answers.
 
     ``trouble`` is ``early`` (before it has read the body), ``break`` (it ends
-    in the middle), ``error`` or nothing.
+    in the middle), ``error`` or nothing.  ``calls`` are the routes that it
+    calls before it answers.
     """
 
     size: int = 20
@@ -34,6 +36,7 @@
     pieces: int = 1
     trouble: str = ''
     note: int = 0
+    calls: tuple[str, ...] = ()
 
     @classmethod
     def from_header(cls, raw):
@@ -46,8 +49,11 @@
     return rng.randrange(100) < percent
 
 
-def make_play(rng, sizes):
+def make_play(rng, sizes, callees=()):
     """Return the header value that tells a target how to answer."""
+    calls = ()
+    if callees and happens(rng, _CALLING_PERCENT):
+        calls = rng.sample(callees, rng.randint(1, len(callees)))
     play = Play(
         rng.choice(sizes),
         rng.choice((0, 0, 20, 200, 800)),
@@ -55,6 +61,7 @@
         rng.choice((1, 1, 3, 8)),
         rng.choice(('',) * 10 + ('early', 'break', 'error')),
         rng.choice((0,) * 8 + (1, 1, 2)),
+        calls,
     )
     return json.dumps(dataclasses.asdict(play)).encode()
 
@@ -142,22 +149,36 @@
             stamp=secrets.token_hex(6),
         )
         play = Play.from_header(headers.get(b'x-play', b'{}'))
+        end_s = self._soak.now_s() + int(headers[b'x-deadline-ms']) / 1000
         if play.trouble == 'early':
             self._soak.history.runs.append(run)
             async with asyncio.TaskGroup() as group:
                 reading = group.create_task(_read_body(reader, headers))
-                answering = group.create_task(self._answer(writer, run, play))
+                answering = group.create_task(
+                    self._answer(writer, run, play, end_s)
+                )
             run.body_digest = reading.result()
             return answering.result()
         run.body_digest = await _read_body(reader, headers)
         self._soak.history.runs.append(run)
-        return await self._answer(writer, run, play)
+        return await self._answer(writer, run, play, end_s)
+
+    async def _make_calls(self, prefixes, end_s):
+        """Call routes through the own node; return whether all succeeded."""
+        for prefix in prefixes:
+            wait_s = end_s - self._soak.now_s()
+            if wait_s <= 0 or not await self._soak.call(
+                self._index, prefix, wait_s
+            ):
+                return False
+        return True
 
-    async def _answer(self, writer, run, play):
+    async def _answer(self, writer, run, play, end_s):
         """Send an answer; return whether the connection is kept."""
         await asyncio.sleep(play.delay_ms / 1000)
+        has_failed = not await self._make_calls(play.calls, end_s)
         body = random.Random(run.stamp).randbytes(play.size)
-        run.status = 500 if play.trouble == 'error' else 200
+        run.status = 500 if has_failed or play.trouble == 'error' else 200
         run.answer_note = NOTES[play.note]
         run.answer_digest = digest(body)
         lines = [
