--- a/tests/lib/request_soak.py
+++ b/tests/lib/request_soak.py
@@ -5,16 +5,17 @@
 import contextlib
 import functools
 import json
-import os
-import pathlib
 import random
-import shutil
 import signal
+import time
+from concurrent import futures
 
 from lib.fake_platform import make_plan_text
 from lib.loopback_proxy import LoopbackProxy, cancel_all
 from lib.node_process import ProcessFleet
+from lib.request_soak_builds import new_build_clients
 from lib.request_soak_check import (
+    CONFIG_S,
     STABLE_S,
     Disturbance,
     History,
@@ -22,13 +23,14 @@
 )
 from lib.request_soak_clients import new_client
 from lib.request_soak_crossing import HABITS, new_crossing_client
+from lib.request_soak_logs import keep_logs, read_unlisted_ends
 from lib.request_soak_targets import RawTarget, happens
 
 _SOAK_S = 14.0
 _SETTLING_S = 3.0
 _CLOSING_S = 0.2
 _CLIENTS_PER_NODE = 6
-_MEMORY_LIMIT_KB = 300_000
+_MEMORY_LIMIT_MB = 300
 _MEMORY_PERIOD_S = 0.02
 _PROBE_PERIOD_S = 0.08
 _MAX_BODY_BYTES = 67_108_864
@@ -40,6 +42,16 @@
     ('/book/', 'orders', 'unsafe', {'timeout_ms': 5000}),
     ('/put/', 'orders', 'upload', {'timeout_ms': 5000}),
 )
+# Routes that targets call.
+_CALLEES = (
+    ('/item/', 'stock', 'safe', {'timeout_ms': 5000, 'allow_anonymous': True}),
+    (
+        '/hold/',
+        'orders',
+        'unsafe',
+        {'timeout_ms': 5000, 'allow_anonymous': True},
+    ),
+)
 # Of a fleet of the size that users run.
 _FLEET_SERVICES = ('stock', 'orders', 'bales', 'members') * 4
 _FLEET_ROUTES = (
@@ -48,9 +60,19 @@
 )
 _FLEET_DOMAINS = ('z1', 'z2', 'z3', 'z4')
 _MOST_CLIENT_DELAY_S = 0.03
-# Keeps the logs of the nodes and the history of each seed.
-_LOG_FOLDER = 'CHIVELEAD_SOAK_LOGS'
+_LONGEST_DOWN_S = 5.0
 _FAMILIES = ('kill', 'freeze', 'harm_target', 'upload')
+_FLEET_FAMILIES = (
+    'stop',
+    'stop',
+    'stop',
+    'hangup',
+    'edit',
+    'kill',
+    'freeze',
+    'harm_target',
+    'harm_store',
+)
 # Planned work, at any time and beside the others.
 _PLANNED_FAMILIES = ('hangup', 'stop', 'edit')
 
@@ -60,8 +82,8 @@
 
     Args:
         seed: Chooses the fleet, the disturbances and what clients do.
-        is_large: Whether to run a fleet of the size that users run, with stops
-            that overlap and no other disturbance.
+        is_large: Whether to run a fleet of the size that users run, with all
+            disturbances and stops that overlap.
     """
 
     def __init__(self, seed, *, is_large=False):
@@ -74,13 +96,14 @@
         self._is_large = is_large
         if is_large:
             services = _FLEET_SERVICES
-            self.families = ['stop', 'stop', 'stop', 'hangup', 'edit']
+            self.families = list(_FLEET_FAMILIES)
             self._victims = list(range(len(services)))
             self._domains = _FLEET_DOMAINS
         else:
             services = self._choose()
         self._routes = (*_ROUTES, *_FLEET_ROUTES) if is_large else _ROUTES
         self.prefixes = [route[0] for route in self._routes]
+        self.callees = [route[0] for route in _CALLEES]
         self._fleet = ProcessFleet(
             *services,
             make_target=functools.partial(RawTarget, soak=self),
@@ -90,14 +113,17 @@
         self.client_proxies = [
             LoopbackProxy(node.callers_port, node.ip) for node in self.nodes
         ]
-        self._started_s = asyncio.get_running_loop().time()
+        self._started_s = time.monotonic()
+        # For the clients that block one each.
+        self.threads = futures.ThreadPoolExecutor(2 * len(self.nodes))
+        self.is_over = False
         self._busy = set()
         self._stopping = set()
         self._gone = set()
         self._closed = {}
         self._version = 5
         self._guest_key = ''
-        self._peak_kb = 0
+        self._peak_mb = 0
         self._store_harmed_s = -STABLE_S
         self._harms_store = not is_large and happens(self._random, 50)
         self._plan_key = 'another-key'
@@ -109,7 +135,11 @@
 
     def now_s(self):
         """Return the time since the start of the soak."""
-        return asyncio.get_running_loop().time() - self._started_s
+        return time.monotonic() - self._started_s
+
+    async def call(self, node, prefix, deadline_s):
+        """Call a route for a target; return whether the call succeeded."""
+        return await new_client(self, node, None).call(prefix, deadline_s)
 
     def is_open(self, node):
         """Return whether clients send new requests to a node."""
@@ -137,6 +167,7 @@
                 Disturbance('start', None, 0, self.now_s())
             )
             await self._run_tasks()
+            self.history.unlisted_ends = await read_unlisted_ends(self._fleet)
         finally:
             await self._close()
 
@@ -153,7 +184,7 @@
             f'{self.families}, '
             f'victims {self._victims}, store {self._harms_store}, '
             f'disturbances {dict(kinds)}, ends {dict(ends)}, '
-            f'most memory {self._peak_kb // 1000} MB'
+            f'most memory {self._peak_mb:.0f} MB'
         )
 
     def _choose(self):
@@ -179,34 +210,15 @@
         return ('stock', 'orders', 'stock', 'orders')[:node_count]
 
     async def _close(self):
-        self._keep_logs()
+        keep_logs(self.nodes, self.history, self._seed)
         for proxy in self.client_proxies:
             if proxy.is_started:
                 await proxy.close()
         await self._fleet.close()
+        await asyncio.to_thread(self.threads.shutdown)
         # Transports end after their connections were closed.
         await asyncio.sleep(_CLOSING_S)
 
-    def _keep_logs(self):
-        """Copy the logs and the history if a folder for them is named."""
-        if not os.environ.get(_LOG_FOLDER):
-            return
-        folder = pathlib.Path(os.environ[_LOG_FOLDER]) / f'seed-{self._seed}'
-        folder.mkdir(parents=True, exist_ok=True)
-        for node in self.nodes:
-            shutil.copy(node.log_path, folder)
-        lines = [
-            repr(record)
-            for records in (
-                self.history.disturbances,
-                self.history.keys.items(),
-                self.history.calls.values(),
-                self.history.runs,
-            )
-            for record in records
-        ]
-        (folder / 'history.txt').write_text('\n'.join(lines))
-
     async def _run_tasks(self):
         watching = [
             asyncio.create_task(self._watch_memory(index))
@@ -229,6 +241,11 @@
             for index, _ in enumerate(self.nodes)
             for habit in HABITS
         )
+        clients.extend(
+            asyncio.create_task(client.run_forever())
+            for index, _ in enumerate(self.nodes)
+            for client in new_build_clients(self, index, self._seed)
+        )
         clients.append(asyncio.create_task(self._probe_forever()))
         disturbing = [
             asyncio.create_task(self._repeat(name)) for name in self.families
@@ -243,6 +260,7 @@
                 if task.done():
                     task.result()
         finally:
+            self.is_over = True
             await cancel_all(tasks)
 
     async def _repeat(self, family):
@@ -344,12 +362,20 @@
             sending.append(client.upload(size, happens(self._random, 50)))
         await asyncio.gather(*sending)
 
-    async def _harm_store(self):
-        """Harm the connections to the store, which is never down."""
+    async def _harm_store(self, _=None):
+        """Harm the connections to the store, which large fleets also lose."""
         if self.now_s() < self._store_harmed_s + STABLE_S + 1:
             return
         self._store_harmed_s = self.now_s()
-        how = self._random.choice(('silent',) * 4 + ('reset', 'slow'))
+        how = self._random.choice(
+            ('silent',) * 4 + ('reset', 'slow') + ('down',) * 3 * self._is_large
+        )
+        if how == 'down':
+            async with self._disturbing('store', None):
+                self._fleet.store.error_status = 503
+                await asyncio.sleep(self._random.random() * _LONGEST_DOWN_S)
+                self._fleet.store.error_status = 0
+            return
         if how == 'slow':
             await self._slow_store_down()
             return
@@ -387,10 +413,12 @@
         """End a process that exceeds the memory limit."""
         while True:
             await asyncio.sleep(_MEMORY_PERIOD_S)
-            process = self.nodes[node]
-            used_kb = _anonymous_kb(process.pid) if process.is_running() else 0
-            self._peak_kb = max(self._peak_kb, used_kb)
-            if used_kb > _MEMORY_LIMIT_KB:
+            used_mb = 0
+            if self.nodes[node].is_running():
+                with contextlib.suppress(OSError):
+                    used_mb = self.nodes[node].memory_mb()
+            self._peak_mb = max(self._peak_mb, used_mb)
+            if used_mb > _MEMORY_LIMIT_MB:
                 self.history.memory_ends.append((node, self.now_s()))
                 await self._end_over_memory(node)
 
@@ -431,11 +459,16 @@
     def _put_plan(self, guest_key):
         self._plan_key = guest_key
         self._version += self._random.randint(1, 9)
+        now_s = self.now_s()
+        self.history.disturbances.append(
+            Disturbance('edit', None, now_s, now_s + CONFIG_S + 1)
+        )
         self._fleet.store.put('op/config', self._make_plan_text(guest_key))
 
     def _make_plan_text(self, guest_key='another-key'):
         routes = (
             *self._routes,
+            *_CALLEES,
             (f'/new-{self._version}/', 'stock', 'safe', {}),
         )
         organisations = (('mill', 'mill-key', {}), ('guest', guest_key, {}))
@@ -460,13 +493,3 @@
             if self._guest_key and self.is_open(node):
                 await client.probe(self._guest_key)
             await asyncio.sleep(_PROBE_PERIOD_S)
-
-
-def _anonymous_kb(pid):
-    with contextlib.suppress(OSError, StopIteration):
-        status = pathlib.Path(f'/proc/{pid}/status').read_text()
-        line = next(
-            line for line in status.splitlines() if line.startswith('RssAnon')
-        )
-        return int(line.split()[1])
-    return 0
