--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -264,8 +264,7 @@
         for node in self.nodes:
             await node.start()
         self._announcing = asyncio.create_task(self._announce_forever())
-        for node in self.nodes:
-            await self.wait_until_joined(node)
+        await asyncio.gather(*map(self.wait_until_joined, self.nodes))
 
     async def close(self):
         """Kill the nodes and stop the rest."""
