--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 from chivelead_config import NodeRequestKind, TargetAnnouncement
-from chivelead_protocol import ConfigurationError
+from chivelead_protocol import ConfigurationError, TargetState
 
 from chivelead_node._internal.connection_set import ServerConnections
 from chivelead_node._internal.events import EventLog
@@ -161,15 +161,16 @@
         target_id: str,
     ) -> web.Response:
         try:
-            await self._publisher.apply_announcement(
-                self._api_format.parse_announcement(
-                    target_id,
-                    await request.content.read(_ANNOUNCEMENT_LIMIT_BYTES),
-                ),
+            announcement = self._api_format.parse_announcement(
+                target_id,
+                await request.content.read(_ANNOUNCEMENT_LIMIT_BYTES),
             )
+            await self._publisher.apply_announcement(announcement)
         except ConfigurationError as error:
             self._events.record_node_event('bad-announcement', why=str(error))
             return web.Response(status=_BAD_REQUEST)
+        if announcement.state is TargetState.draining:
+            await self._departures.wait_until_kept()
         return web.json_response({})
 
 
--- a/packages/node/src/chivelead_node/_internal/proxy/registration.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/registration.py
@@ -51,9 +51,9 @@
         announcement_period_ms: Time between two announcements.
 
     Attributes:
-        departures: For the ID of each target that has left, the Unix time of
-            its start, or of the departure if the start is unknown.  Later
-            starts under the same ID have not left.
+        departures: For the ID of each target that drains or has left, the Unix
+            time of its start, or of the departure if the start is unknown.
+            Later starts under the same ID have not left.
     """
 
     def __init__(
@@ -169,6 +169,9 @@
                 sequence=announcement.sequence,
                 slots=announcement.slots,
             )
+        if announcement.state is TargetState.draining:
+            # A target never returns from its drain without a new start.
+            self.mark_leaving(announcement.target_id)
         if is_new_instance:
             self._notify_listeners()
         return True
--- a/tests/functional/test_platform_departures.py
+++ b/tests/functional/test_platform_departures.py
@@ -2,6 +2,7 @@
 
 import time
 
+import pytest
 from lib.platform_fleet import (
     announce_late,
     deregister,
@@ -12,6 +13,9 @@
     wait_until_rejoined,
 )
 
+# Of the platform: a node is in touch this long after its start.
+_STABLE_S = 3
+
 
 # Guards against a target that had left and was in use again after a restart of
 # its node: an announcement that came late was the first one it heard.
@@ -64,3 +68,32 @@
         )
         await wait_until_rejoined(fleet, 0, 1)
         assert await requests_at_target(fleet, 0, 0) == 0
+
+
+# Guards against the same where the target had only said that it drains: its
+# node acknowledged that without keeping it.
+@pytest.mark.parametrize(
+    ('killed', 'error_status'), [((0,), 0), ((0,), 503), ((0, 1), 0)]
+)
+async def test_acknowledged_drain_is_known_after_a_kill(killed, error_status):
+    async with running_fleet('stock', 'stock') as fleet:
+        late = fleet.targets[0].make_announcement()
+        fleet.store.error_status = error_status
+        assert await fleet.announce(0, state='draining') == 200
+        fleet.targets[0].healthy = False
+        await restart_node(fleet, *killed)
+        fleet.store.error_status = 0
+        await announce_late(fleet, 0, late)
+        await wait_until(
+            lambda: fleet.components(0).registration.state == 'draining',
+            _STABLE_S,
+        )
+        await wait_until(lambda: fleet.components(0).plan_feed.current.version)
+        assert await fleet.announce(1) == 200
+        await wait_until(
+            lambda: any(
+                member.target_state == 'ready'
+                for member in fleet.components(0).membership.alive_members()
+            )
+        )
+        assert await requests_at_target(fleet, 0, 0) == 0
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -184,11 +184,13 @@
     await node._log_writer.close()
 
 
-async def restart_node(fleet, index):
-    """Kill a node and start it again beside its running target."""
-    await kill_node(fleet.nodes[index])
-    settings = dataclasses.replace(fleet.settings[index], first_start=False)
-    fleet.nodes[index] = await start_node(settings)
+async def restart_node(fleet, *indexes):
+    """Kill nodes and start them again beside their running targets."""
+    for index in indexes:
+        await kill_node(fleet.nodes[index])
+    for index in indexes:
+        settings = dataclasses.replace(fleet.settings[index], first_start=False)
+        fleet.nodes[index] = await start_node(settings)
 
 
 async def deregister(fleet, index):
