--- a/packages/node/src/chivelead_node/_internal/links.py
+++ b/packages/node/src/chivelead_node/_internal/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import logging
 from typing import Any
@@ -9,6 +10,7 @@
 from chivelead_coordination import Membership, Network
 from chivelead_protocol import (
     LARGE_FRAME_BYTES,
+    CallCancel,
     CallRequest,
     ChiveleadError,
     HybridClock,
@@ -59,6 +61,8 @@
         self._links: dict[str, PeerLink] = {}
         # Idle links for large messages, which others do not have to wait for.
         self._large_links: dict[str, list[PeerLink]] = {}
+        # Links that only wait for replies, from peers that may be held up.
+        self._silent_links: list[PeerLink] = []
         self._connecting: dict[str, asyncio.Task[PeerLink]] = {}
         self._failed_at_ms: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -67,13 +71,15 @@
     def bytes_sent(self) -> int:
         """Return the bytes sent over all links, including closed ones."""
         open_links = itertools.chain(
-            self._links.values(), *self._large_links.values()
+            self._links.values(),
+            self._silent_links,
+            *self._large_links.values(),
         )
         open_bytes = sum(link.bytes_sent for link in open_links)
         return self.closed_link_bytes + open_bytes
 
     def is_failing(self, vm: str) -> bool:
-        """Return whether the last link was lost or could not be opened."""
+        """Return whether the last link was lost, silent or not opened."""
         return vm in self._failed_at_ms
 
     async def start(self) -> None:
@@ -88,7 +94,9 @@
         for task in self._tasks:
             task.cancel()
         for link in itertools.chain(
-            tuple(self._links.values()), *self._large_links.values()
+            tuple(self._links.values()),
+            self._silent_links,
+            *self._large_links.values(),
         ):
             await link.close()
 
@@ -99,10 +107,14 @@
         link = self._links.get(vm)
         if link is None or not link.is_open:
             link = await self._open(vm)
+        repeatable = _is_repeatable(body)
         try:
-            return await link.request(body, timeout_ms)
+            return await link.request(body, timeout_ms, repeatable=repeatable)
         except LinkLostError:
             self._failed_at_ms[vm] = now_ms()
+            if isinstance(body, CallRequest) and repeatable:
+                # The peer may read the call when it responds again.
+                link.send_nowait(CallCancel(body.attempt_id))
             raise
 
     async def send(self, vm: str, body: Any) -> None:
@@ -122,8 +134,7 @@
             self._body_memory,
         )
         await link.start()
-        await self._close_link(link.peer_vm)
-        self._links[link.peer_vm] = link
+        await self._replace_link(link.peer_vm, link)
         return link.peer_vm
 
     async def _request_large(
@@ -139,7 +150,9 @@
             else await self._connect_and_ping(vm, timeout_ms)
         )
         try:
-            reply = await link.request(body, timeout_ms)
+            reply = await link.request(
+                body, timeout_ms, repeatable=_is_repeatable(body)
+            )
         except BaseException:
             await self._retire(link)
             raise
@@ -193,9 +206,16 @@
             # requests.
             await self._retire(link)
             return current
+        await self._replace_link(vm, link)
+        return link
+
+    async def _replace_link(self, vm: str, link: PeerLink) -> None:
         await self._close_link(vm)
         self._links[vm] = link
-        return link
+        link.on_silence = functools.partial(self._note_failure, vm)
+
+    def _note_failure(self, vm: str) -> None:
+        self._failed_at_ms[vm] = now_ms()
 
     async def _connect(self, vm: str) -> PeerLink:
         member = self._membership.find(vm)
@@ -220,7 +240,11 @@
 
     async def _close_link(self, vm: str) -> None:
         link = self._links.pop(vm, None)
-        if link is not None:
+        if link is None:
+            return
+        if link.awaits_replies:
+            self._silent_links.append(link)
+        else:
             await self._retire(link)
 
     async def _close_idle_forever(self) -> None:
@@ -232,6 +256,13 @@
                 if idle or not link.is_open:
                     await self._close_link(vm)
             await self._close_idle_large_links(oldest_use_ms)
+            await self._close_silent_links()
+
+    async def _close_silent_links(self) -> None:
+        ended = [link for link in self._silent_links if not link.awaits_replies]
+        for link in ended:
+            self._silent_links.remove(link)
+            await self._retire(link)
 
     async def _close_idle_large_links(self, oldest_use_ms: float) -> None:
         for vm, links in tuple(self._large_links.items()):
@@ -271,3 +302,7 @@
             await self._open(vm)
         except ChiveleadError as error:
             logger.debug('link to %s cannot be reopened: %s', vm, error)
+
+
+def _is_repeatable(body: Any) -> bool:
+    return not isinstance(body, CallRequest) or body.idempotent
--- a/packages/protocol/src/chivelead_protocol/_internal/link.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link.py
@@ -1,9 +1,11 @@
 """Authenticated websocket links between chivelead processes.
 
 A link carries requests from the side that opened it, and the replies to them.
-It is closed if nothing is received for longer than ``RECEIVE_TIMEOUT_MS``, or
-``BUSY_RECEIVE_TIMEOUT_MS`` with requests in flight, since TCP alone may take
-much longer to detect a dead peer.  Any data is a sign of life; the channel
+It takes no more requests if nothing is received for longer than
+``RECEIVE_TIMEOUT_MS``, or ``BUSY_RECEIVE_TIMEOUT_MS`` with requests in flight,
+since TCP alone may take much longer to detect a dead peer.  Its requests fail
+then, except those that cannot be sent again: the peer may only be held up, so
+the link stays open for their replies.  Any data is a sign of life; the channel
 tells the sender of a large message that parts of it arrive.
 """
 
@@ -11,7 +13,7 @@
 import contextlib
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from chivelead_protocol._internal import messages
@@ -79,6 +81,7 @@
     Attributes:
         in_flight: Number of requests that wait for their reply.
         bytes_sent: Total size of the messages sent.
+        on_silence: Called when the link is silent for too long.
         peer_vm: VM name of the peer; empty until it has authenticated.
         last_used_ms: Time at which a message was last sent, by ``now_ms``.
     """
@@ -95,6 +98,7 @@
         """Initialise the link; ``start`` opens it."""
         self.in_flight = 0
         self.bytes_sent = 0
+        self.on_silence: Callable[[], object] = _ignore_silence
         self.peer_vm = ''
         self.last_used_ms = 0.0
         self._own_vm = own_vm
@@ -104,6 +108,9 @@
         self._rooms = rooms or UnlimitedRooms()
         self._replies: dict[int, asyncio.Future[Any]] = {}
         self._reply_rooms: dict[int, FrameRoom] = {}
+        # Requests that have been sent and must not be sent again.
+        self._sent_once: set[int] = set()
+        self._is_silent = False
         self._sequence = itertools.count(1)
         self._channel: Channel | None = None
         self._liveness_task: asyncio.Task[None] | None = None
@@ -111,8 +118,13 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the link is open and authenticated."""
-        return self._channel is not None
+        """Whether the link takes requests."""
+        return self._channel is not None and not self._is_silent
+
+    @property
+    def awaits_replies(self) -> bool:
+        """Whether the link takes no requests, but may bring replies."""
+        return self._is_silent and bool(self._sent_once)
 
     async def start(self) -> None:
         """Open the link and authenticate both sides.
@@ -159,9 +171,17 @@
         if channel is not None:
             channel.close()
 
-    async def request(self, body: Any, timeout_ms: float) -> Any:
+    async def request(
+        self, body: Any, timeout_ms: float, *, repeatable: bool = True
+    ) -> Any:
         """Send a message and wait for the reply to it.
 
+        Args:
+            body: Message.
+            timeout_ms: Time to wait for the reply.
+            repeatable: Whether the message can be sent again elsewhere.  If
+                not, silence of the peer does not end the wait.
+
         Raises:
             EncodingError: The message cannot be encoded; nothing was sent.
             LinkNotOpenError: The link is not open, or it was lost before the
@@ -172,6 +192,8 @@
             ProtocolError: The peer replied that it could not handle the
                 request.
         """
+        if self._is_silent:
+            raise LinkNotOpenError('send', f'{self.peer_vm} does not respond')
         sequence = next(self._sequence)
         loop = asyncio.get_running_loop()
         reply = loop.create_future()
@@ -186,7 +208,9 @@
             if is_large(body):
                 await self._write_large(sequence, body, reply)
             else:
-                await self._write(sequence, body)
+                self._write(sequence, body)
+            if not repeatable:
+                self._sent_once.add(sequence)
             return _unwrap_reply(await reply)
         except TimeoutError as error:
             raise ReplyTimeoutError(
@@ -204,9 +228,16 @@
             EncodingError: The message cannot be encoded; nothing was sent.
             LinkNotOpenError: The link is not open; nothing was sent.
         """
-        await self._write(0, body)
+        await self._write(0, body).drain()
 
-    async def _write(self, sequence: int, body: Any) -> None:
+    def send_nowait(self, body: Any) -> None:
+        """Send a message that expects no reply, if the connection is open."""
+        if self._channel is not None:
+            raw = encode_frame(0, self._clock.stamp(), body)
+            with contextlib.suppress(LinkLostError):
+                self._channel.send(raw)
+
+    def _write(self, sequence: int, body: Any) -> Channel:
         channel = self._channel
         if channel is None:
             raise LinkNotOpenError('send', f'link to {self._address} is closed')
@@ -219,7 +250,7 @@
             ) from error
         self.bytes_sent += len(raw)
         self.last_used_ms = now_ms()
-        await channel.drain()
+        return channel
 
     async def _write_large(
         self, sequence: int, body: Any, reply: asyncio.Future[Any]
@@ -272,9 +303,14 @@
     def _remove_request(self, sequence: int) -> None:
         self.in_flight -= 1
         self._replies.pop(sequence, None)
+        self._sent_once.discard(sequence)
         room = self._reply_rooms.pop(sequence, None)
         if room is not None:
             room.close()
+        channel = self._channel
+        if self._is_silent and channel is not None and not self._sent_once:
+            self._mark_closed('silent')
+            channel.abort()
 
     def _admit(self, prefix: bytes, size_bytes: int) -> FrameRoom | None:
         try:
@@ -341,30 +377,40 @@
     def _check_liveness(
         self, channel: Channel, silent_ms: float, unanswered_ms: float
     ) -> None:
-        """Close a link that has been silent for too long, or ping the peer.
+        """Give up a link that has been silent for too long, or ping the peer.
 
         Args:
             channel: Connection of the link.
             silent_ms: Time without data.
             unanswered_ms: Part of it in which requests were in flight.
         """
-        if (
+        if not self._is_silent and (
             silent_ms > RECEIVE_TIMEOUT_MS
             or unanswered_ms > BUSY_RECEIVE_TIMEOUT_MS
         ):
-            self._mark_closed('receive timeout')
-            channel.abort()
+            self._give_up(channel)
         elif silent_ms > PING_AFTER_MS or unanswered_ms > BUSY_PING_AFTER_MS:
-            self._ping(channel)
-
-    def _ping(self, channel: Channel) -> None:
-        raw = encode_frame(0, self._clock.stamp(), messages.Ping())
-        with contextlib.suppress(LinkLostError):
-            channel.send(raw)
+            self.send_nowait(messages.Ping())
+
+    def _give_up(self, channel: Channel) -> None:
+        """Take no more requests; wait only for replies to those sent once."""
+        self._is_silent = True
+        self.on_silence()
+        if self._sent_once:
+            self._fail_requests(
+                self._replies.keys() - self._sent_once, 'silent'
+            )
+        else:
+            self._mark_closed('silent')
+            channel.abort()
 
     def _mark_closed(self, reason: str) -> None:
         self._channel = None
-        for reply in self._replies.values():
+        self._fail_requests(self._replies, reason)
+
+    def _fail_requests(self, sequences: Iterable[int], reason: str) -> None:
+        for sequence in sequences:
+            reply = self._replies[sequence]
             if not reply.done():
                 reply.set_exception(
                     LinkLostError(f'link to {self.peer_vm}', reason),
@@ -383,6 +429,10 @@
     return min(now_ms() - since_ms, counted_ms + _LIVENESS_CHECK_PERIOD_MS)
 
 
+def _ignore_silence() -> None:
+    """Ignore silence before a handler is set."""
+
+
 def _fail_with_timeout(reply: asyncio.Future[Any]) -> None:
     if not reply.done():
         reply.set_exception(TimeoutError())
--- a/packages/protocol/tests/unit/test_link.py
+++ b/packages/protocol/tests/unit/test_link.py
@@ -18,6 +18,7 @@
     PeerLink,
     PeerServer,
     ProtocolError,
+    ReplyTimeoutError,
     StatusQuery,
     TakeTokens,
     now_ms,
@@ -131,6 +132,55 @@
     await server.close()
 
 
+@pytest.fixture
+async def silent_link():
+    """Return a link to a peer that does not read, and the peer's channel."""
+    server, port = await start_server(acknowledge)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    # The server has authenticated the link by then.
+    await link.request(StatusQuery(), 5000)
+    channel_of_peer = server.channels()[0]
+    channel_of_peer._transport.pause_reading()
+    yield link, channel_of_peer
+    await link.close()
+    await server.close()
+
+
+# Guards against calls that must run once and fail though their peer, which was
+# held up, answers; and against other calls that wait for such a peer.
+async def test_silence_fails_only_requests_that_can_be_sent_again(silent_link):
+    link, channel_of_peer = silent_link
+    once = asyncio.create_task(
+        link.request(StatusQuery(), 5000, repeatable=False)
+    )
+    with pytest.raises(LinkLostError):
+        await link.request(StatusQuery(), 5000)
+    assert link.awaits_replies
+    assert not link.is_open
+    with pytest.raises(LinkNotOpenError):
+        await link.request(StatusQuery(), 5000)
+    channel_of_peer._transport.resume_reading()
+    assert await once == Acknowledged()
+    assert not link.awaits_replies
+
+
+# Guards against connections to dead peers that stay open once nothing waits
+# for their replies, and against requests that outlast their timeout there.
+async def test_silent_link_closes_with_its_last_request(silent_link):
+    link, _ = silent_link
+    text = 'x' * 60_000
+    many = [
+        link.request(TakeTokens(text, 1, 1, 1.0, ()), 2000, repeatable=False)
+        for _ in range(200)
+    ]
+    started_ms = now_ms()
+    replies = await asyncio.gather(*many, return_exceptions=True)
+    assert {type(reply) for reply in replies} == {ReplyTimeoutError}
+    assert now_ms() - started_ms < 2500
+    assert link._channel is None
+
+
 # Guards against calls that are cut off after a pause of the own process, since
 # the silence of the link during the pause counts as that of its peer.
 async def test_pause_of_the_own_process_does_not_end_a_link():
