--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -43,7 +43,7 @@
         """Create a handler that the event loop will connect."""
         super().__init__(connections, manager, **options)
         self._asked_to_leave_ms = math.inf
-        self._probe = CallerProbe(self._send_probe)
+        self._probe: CallerProbe | None = None
 
     @property
     def is_asked_to_leave(self) -> bool:
@@ -105,6 +105,7 @@
                 self._close_cause = EndCause.request_incomplete
             return False
         transport.input_ended = True
+        self._probe = CallerProbe(self._send_probe)
         self._probe.start()
         return True
 
@@ -182,7 +183,11 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
         self._connections.discard(self)
-        self._probe.close()
+        if self._probe is not None:
+            self._probe.close()
+            # It refers to this connection, which would live on until the next
+            # garbage collection.
+            self._probe = None
         cause = self._close_cause or self._find_cause(exc)
         # A client that has gone lacks what it did not acknowledge.
         if self._exchanges or cause is EndCause.answer_not_read:
