--- a/packages/protocol/src/chivelead_protocol/_internal/channel.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/channel.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from typing import cast
 
@@ -50,11 +51,12 @@
     Attributes:
         last_received_ms: Time at which data last arrived, by ``now_ms``.
         sent_bytes: Total size of what was sent, delivered or not.
-        longest_silence_ms: Longest time between data that arrived.
+        max_silence_ms: Longest time between data that is usual.
+        silence_ended_ms: Time, by ``now_ms``, at which data last arrived after
+            a longer one.
         on_frame: Called with the payload of each binary frame that is not
             large.
         on_large_frame: Called with the payload and the memory of a large frame.
-        on_progress: Called when a part of a large frame has arrived.
         admit: Takes memory for a large frame; by default, all are dropped.
         on_close: Called once when the connection has closed.
     """
@@ -63,10 +65,10 @@
         """Initialise the channel; the event loop connects it."""
         self.last_received_ms = now_ms()
         self.sent_bytes = 0
-        self.longest_silence_ms = 0.0
+        self.max_silence_ms = math.inf
+        self.silence_ended_ms = -math.inf
         self.on_frame: FrameHandler = _ignore_frame
         self.on_large_frame: LargeFrameHandler = _drop_large_frame
-        self.on_progress: Callable[[], None] = _ignore_close
         self.admit: Admit = _refuse
         self.on_close: Callable[[], None] = _ignore_close
         self._protocol = protocol
@@ -109,16 +111,14 @@
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Handle received bytes; those of the handshake hold no frames."""
         received_ms = now_ms()
-        self.longest_silence_ms = max(
-            self.longest_silence_ms, received_ms - self.last_received_ms
-        )
+        if received_ms - self.last_received_ms > self.max_silence_ms:
+            self.silence_ended_ms = received_ms
         self.last_received_ms = received_ms
         if self._protocol.state is not State.OPEN:
             self._feed_handshake(data)
             return
         self._splitter.feed(data)
         if self._splitter.receives_large_frame:
-            self.on_progress()
             self._confirm_progress()
 
     def eof_received(self) -> None:
--- a/packages/protocol/src/chivelead_protocol/_internal/link_server.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/link_server.py
@@ -41,6 +41,8 @@
 logger = logging.getLogger(__name__)
 
 _UNAVAILABLE = 503
+# After a pause of this process, what has arrived is read within this time.
+_CATCH_UP_MS = 100
 
 MessageHandler = Callable[[str, Any], Awaitable[Any]]
 
@@ -165,6 +167,8 @@
         self._message_handler = message_handler
         self._tasks: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
+        # The peer may wait until then for replies to calls that run once.
+        self._awaited_until_ms = 0.0
         # Bytes sent on the channel up to the end of the last reply to a call.
         self._call_reply_end_bytes = 0
 
@@ -184,7 +188,7 @@
         channel = self._channel
         channel.on_frame = self._handle_frame
         channel.on_large_frame = self._handle_large_frame
-        channel.on_progress = self._note_received
+        channel.max_silence_ms = RECEIVE_TIMEOUT_MS
         channel.admit = self._admit
         channel.on_close = self._ended.set
         for raw in frames.take_remaining():
@@ -197,20 +201,32 @@
                 task.cancel()
 
     async def _monitor_liveness(self) -> None:
+        """Wait until the connection has ended, or the peer is silent.
+
+        A silent peer may only be held up.  If it waits for replies to calls
+        that must run once, sent or not, the link stays open for them.
+        """
+        is_overdue = False
         while not self._ended.is_set():
             since_received_ms = now_ms() - self._channel.last_received_ms
             left_ms = RECEIVE_TIMEOUT_MS - since_received_ms
-            if left_ms <= 0:
+            is_awaited = now_ms() < self._awaited_until_ms
+            if left_ms <= 0 and is_overdue and not is_awaited:
                 return
+            is_overdue = left_ms <= 0
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(left_ms / MS_PER_S):
+                async with asyncio.timeout(
+                    max(left_ms, _CATCH_UP_MS) / MS_PER_S
+                ):
                     await self._ended.wait()
 
-    def _note_received(self) -> None:
-        if self._channel.longest_silence_ms > RECEIVE_TIMEOUT_MS:
-            # The process was paused.  The peer has timed out in the meantime,
-            # so it does not wait for replies to the frames still buffered.
-            self._ended.set()
+    def _is_catching_up(self) -> bool:
+        """Return whether what arrives may be too old to be handled.
+
+        The sender may have given it up while this process was paused.
+        """
+        since_silence_ms = now_ms() - self._channel.silence_ended_ms
+        return since_silence_ms < _CATCH_UP_MS
 
     def _admit(self, prefix: bytes, size_bytes: int) -> FrameRoom | None:
         try:
@@ -220,6 +236,9 @@
             return None
         if code != find_code(messages.CallRequest):
             return self._rooms.hold(size_bytes)
+        if self._is_catching_up():
+            self._reply(sequence, _held_up_reply())
+            return None
         room = self._rooms.take_request(size_bytes)
         if room is None and sequence:
             self._reply(sequence, _no_room_reply())
@@ -239,8 +258,13 @@
         if isinstance(frame.message, messages.Ping):
             self._reply(frame.sequence, messages.Pong())
             return
+        is_call = isinstance(frame.message, messages.CallRequest)
+        if self._is_catching_up():
+            if is_call:
+                self._reply(frame.sequence, _held_up_reply())
+            return
         room: FrameRoom | None = None
-        if isinstance(frame.message, messages.CallRequest):
+        if is_call:
             room = self._rooms.take_request(len(raw))
             if room is None:
                 self._reply(frame.sequence, _no_room_reply())
@@ -249,7 +273,6 @@
 
     def _decode(self, raw: Any, decode: Callable[[Any], Frame]) -> Frame | None:
         """Return the frame, or None if the link has ended."""
-        self._note_received()
         if self._ended.is_set():
             return None
         try:
@@ -271,6 +294,10 @@
             task.add_done_callback(lambda _: room.close())
 
     async def _handle_message(self, sequence: int, body: Any) -> None:
+        if isinstance(body, messages.CallRequest) and not body.idempotent:
+            self._awaited_until_ms = max(
+                self._awaited_until_ms, now_ms() + body.timeout_ms
+            )
         try:
             reply = await self._message_handler(self._peer_vm, body)
         except ChiveleadError as error:
@@ -318,12 +345,23 @@
 
 def _no_room_reply() -> messages.CallReply:
     """Return the reply to a call for whose body there is no memory."""
+    return _not_run_reply(
+        'memory', b"the target's node has no memory left for the body"
+    )
+
+
+def _held_up_reply() -> messages.CallReply:
+    """Return the reply to a call that was not read in time."""
+    return _not_run_reply('unreachable', b"the target's node was held up")
+
+
+def _not_run_reply(reason: str, detail: bytes) -> messages.CallReply:
     return messages.CallReply(
         status=_UNAVAILABLE,
         headers=(),
-        body=b"the target's node has no memory left for the body",
+        body=detail,
         outcome=messages.Outcome.not_run,
-        reason='memory',
+        reason=reason,
         retry_allowance=0,
         shed_level=0,
         queue_ms=0,
--- a/packages/protocol/tests/unit/test_link.py
+++ b/packages/protocol/tests/unit/test_link.py
@@ -11,6 +11,7 @@
 from chivelead_protocol import (
     Acknowledged,
     CallReply,
+    CallRequest,
     EncodingError,
     HybridClock,
     LinkLostError,
@@ -276,6 +277,53 @@
     await server.close()
 
 
+def make_call(request_id):
+    """Return a call that must run once."""
+    return CallRequest(
+        request_id=request_id,
+        attempt_id=request_id,
+        service='orders',
+        route='book',
+        method='POST',
+        path='/',
+        headers=(),
+        body=b'',
+        organisation='',
+        importance=0,
+        idempotent=False,
+        timeout_ms=5000.0,
+        retry_allowance=0,
+        queue_limit_ms=0.0,
+        notice=None,
+    )
+
+
+# Guards against calls at work that are cut off with their link after a pause of
+# the node beside their target, and against calls that run after such a pause
+# though their callers may have given them up.
+async def test_pause_of_a_server_ends_no_call_at_work_and_starts_none():
+    handled = []
+
+    async def handle_call(vm, body):
+        handled.append(body.request_id)
+        await asyncio.sleep(0.2)
+        return CallReply(200, (), b'', 'done', '', 0, 0, 0, 0, 0)
+
+    server, port = await start_server(handle_call)
+    link = PeerLink('near', HOST, port, b'secret', HybridClock())
+    await link.start()
+    at_work = asyncio.create_task(link.request(make_call('at work'), 5000))
+    await asyncio.sleep(0.1)
+    late = asyncio.create_task(link.request(make_call('late'), 5000))
+    await asyncio.sleep(0)
+    pause_process(2.6)
+    assert (await at_work).status == 200
+    assert (await late).outcome == 'not-run'
+    assert handled == ['at work']
+    await link.close()
+    await server.close()
+
+
 class PausingProtocol(asyncio.Protocol):
     """Pauses this process while its event loop handles input."""
 
--- a/tests/functional/test_platform_held_up_nodes.py
+++ b/tests/functional/test_platform_held_up_nodes.py
@@ -51,3 +51,13 @@
     failures = load.describe_failures()
     assert not failures, '\n'.join(failures)
     assert {call.status for call in calls} == {_OK}
+
+
+# Guards against requests that are cut off with the link on which they came,
+# because the node of their caller was held up.
+@pytest.mark.parametrize('pause_s', _PAUSES_S or [2.8])
+async def test_request_outlasts_a_pause_at_its_caller(pause_s):
+    load, calls = await send_beside_pause('book', pause_s, held_up_node=0)
+    failures = load.describe_failures()
+    assert not failures, '\n'.join(failures)
+    assert {call.status for call in calls} == {_OK}
