--- a/packages/node/src/chivelead_node/_internal/outbound.py
+++ b/packages/node/src/chivelead_node/_internal/outbound.py
@@ -136,6 +136,7 @@
                 left_ms=round(failure.left_ms),
                 allowance=failure.allowance,
                 again=will_retry,
+                why=_explain_failure(reply),
             )
             if not will_retry:
                 return _with_uncertain_outcome(reply, may_have_run=may_have_run)
@@ -279,19 +280,21 @@
             )
         try:
             reply = await self._deliver(vm, request, body_share)
-        except LinkNotOpenError:
+        except LinkNotOpenError as error:
             self._outliers.record_failure(vm)
             return _delivery_failure(
-                _UNAVAILABLE, 'unreachable', Outcome.not_run
+                _UNAVAILABLE, 'unreachable', Outcome.not_run, error.cause
             )
         except ReplyTimeoutError:
             await self._cancel(vm, request.attempt_id)
             return _delivery_failure(
                 _GATEWAY_TIMEOUT, 'timeout', Outcome.unknown
             )
-        except ChiveleadError:
+        except ChiveleadError as error:
             self._outliers.record_failure(vm)
-            return _delivery_failure(_UNAVAILABLE, 'link-lost', Outcome.unknown)
+            return _delivery_failure(
+                _UNAVAILABLE, 'link-lost', Outcome.unknown, error.cause
+            )
         return reply
 
     async def _deliver(
@@ -390,7 +393,16 @@
     return call.idempotent or reply.outcome == Outcome.not_run
 
 
-def _delivery_failure(status: int, reason: str, outcome: Outcome) -> CallReply:
+def _explain_failure(reply: CallReply) -> str:
+    """Return what is known of a failure to deliver; empty for other ones."""
+    if reply.reason not in _DELIVERY_FAILURES:
+        return ''
+    return reply.body.decode(errors='replace')
+
+
+def _delivery_failure(
+    status: int, reason: str, outcome: Outcome, cause: str = ''
+) -> CallReply:
     details = {
         'deadline': 'the time left does not suffice',
         'unreachable': "the target's node cannot be reached",
@@ -399,6 +411,7 @@
         'memory': 'this node has no memory left for the answer',
         'link-lost': "the link to the target's node was lost",
     }
+    detail = ': '.join(filter(None, (details[reason], cause)))
     return calls.refusal_reply(
-        calls.Refusal(status, reason, outcome, details[reason]),
+        calls.Refusal(status, reason, outcome, detail),
     )
--- a/packages/node/tests/unit/test_candidates.py
+++ b/packages/node/tests/unit/test_candidates.py
@@ -12,7 +12,7 @@
 from chivelead_node._internal.outbound import OutboundCalls
 from chivelead_node._internal.target_estimates import RoutingEstimates
 from chivelead_policy import RETRIES, ROUTERS
-from chivelead_protocol import HybridClock, loop_ms
+from chivelead_protocol import HybridClock, LinkLostError, loop_ms
 from lib.clocks import advance_clock
 from lib.fakes import make_member
 
@@ -87,3 +87,23 @@
     outbound._estimates.record_silent(silent)
     for _ in range(20):
         assert outbound._choose_vm(make_call(), set()) == 'vm-13'
+
+
+# Guards against lost links of which the log does not tell who ended them.
+async def test_failed_attempt_tells_why_its_link_was_lost(
+    outbound, monkeypatch
+):
+    async def lose_link(vm, body, timeout_ms):
+        raise LinkLostError(f'link to {vm}', 'silent')
+
+    monkeypatch.setattr(outbound._links, 'request', lose_link)
+    events = []
+    monkeypatch.setattr(
+        outbound._events,
+        'record_call_event',
+        lambda name, _, **fields: events.append((name, fields)),
+    )
+    await outbound.run(make_call())
+    name, fields = events[-1]
+    assert name == 'attempt-failed'
+    assert fields['why'].endswith('was lost: silent')
