--- a/packages/node/src/chivelead_node/_internal/proxy/departures.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/departures.py
@@ -35,6 +35,9 @@
 _KEPT_MS = 600_000
 # The time that a start, and the response to a target, wait for the store.
 _STORE_WAIT_S = 0.3
+# The response to a target waits this much longer while neither the store nor a
+# peer keeps its departure.  A target waits a second for it.
+_KEPT_WAIT_S = 0.4
 
 
 class DepartureRecords:
@@ -65,7 +68,7 @@
         self._saved: dict[str, int] = {}
         self._saved_era = 0
         self._told: dict[str, int] = {}
-        self._tell_peers: Callable[[], Coroutine[Any, Any, None]] | None = None
+        self._tell_peers: Callable[[], Coroutine[Any, Any, bool]] | None = None
         self._save_task: asyncio.Task[None] | None = None
         self._tell_task: asyncio.Task[bool] | None = None
         self._restore_task: asyncio.Task[None] | None = None
@@ -74,7 +77,7 @@
 
     async def start(
         self,
-        tell_peers: Callable[[], Coroutine[Any, Any, None]],
+        tell_peers: Callable[[], Coroutine[Any, Any, bool]],
         *,
         restore: bool,
     ) -> None:
@@ -83,7 +86,8 @@
         If the store does not reply in time, they are restored later.
 
         Args:
-            tell_peers: Sends the entry of this node to another one.
+            tell_peers: Sends the entry of this node to another one; returns
+                whether one responded.
             restore: Whether there was an earlier start.
         """
         self._tell_peers = tell_peers
@@ -101,14 +105,26 @@
             if task is not None:
                 task.cancel()
 
-    async def wait_until_kept(self) -> None:
+    async def wait_until_kept(self) -> bool:
         """Wait until store and peers know the departures, for a short time.
 
         Either may lose them: a peer restarts, the store comes back from a copy.
+
+        Returns:
+            Whether the store or a peer knows them.
         """
+        self._keep_changes()
         tasks = [task for task in (self._save_task, self._tell_task) if task]
-        if tasks:
-            await asyncio.wait(tasks, timeout=_STORE_WAIT_S)
+        if not tasks:
+            return True
+        _, pending = await asyncio.wait(tasks, timeout=_STORE_WAIT_S)
+        if pending and not self._is_kept():
+            await asyncio.wait(
+                pending,
+                timeout=_KEPT_WAIT_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        return self._is_kept()
 
     def restore_from_peer(
         self, vm: str, published: Iterable[TargetDeparture]
@@ -150,16 +166,24 @@
         self._save_soon()
 
     def _keep_changes(self) -> None:
-        departures = self._registration.departures
-        if departures != self._told and self._tell_peers is not None:
-            self._told = dict(departures)
+        is_telling = self._tell_task is not None and not self._tell_task.done()
+        if not is_telling and self._registration.departures != self._told:
             self._tell_task = start_once(
-                'departures-tell',
-                self._tell_peers,
-                self._events.record_task_failure,
+                'departures-tell', self._tell, self._events.record_task_failure
             )
         self._save_soon()
 
+    async def _tell(self) -> None:
+        departures: dict[str, int] | None = None
+        while departures != self._registration.departures:
+            departures = dict(self._registration.departures)
+            if self._tell_peers is not None and await self._tell_peers():
+                self._told = departures
+
+    def _is_kept(self) -> bool:
+        is_told = self._registration.departures == self._told
+        return is_told or not self._has_changed()
+
     def _save_soon(self) -> None:
         is_saving = self._save_task is not None and not self._save_task.done()
         if not is_saving and self._has_changed():
--- a/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/fleet_reporter.py
@@ -145,36 +145,31 @@
 
     async def report(self) -> None:
         """Report to the best relay that responds."""
-        async with self._report_lock:
-            own = self._membership.own
-            candidates = self._ranking.candidates(own.failure_domain)
-            if self._relay_vm in candidates[1:]:
-                # The former relay may not know the better one yet.
-                await self._report_to(self._relay_vm, all_members=True)
-            for vm in candidates:
-                if await self._report_to(vm):
-                    return
+        await self._report_to_best()
 
-    async def tell_peers(self) -> None:
+    async def tell_peers(self) -> bool:
         """Send the entry of this node to its relay, or to those it relays for.
 
         A relay reports to itself, and the other nodes learn of its changes from
         the replies to their next reports.
+
+        Returns:
+            Whether another node responded.
         """
-        await self.report()
+        if await self._report_to_best():
+            return True
         own = self._membership.own
-        if self._relay_vm == own.vm:
-            candidates = self._ranking.candidates(own.failure_domain)
-            others = [vm for vm in candidates if vm != own.vm]
-            await asyncio.gather(*map(self._tell, others[:_MAX_TOLD]))
+        candidates = self._ranking.candidates(own.failure_domain)
+        others = [vm for vm in candidates if vm != own.vm]
+        return any(await asyncio.gather(*map(self._tell, others[:_MAX_TOLD])))
 
     async def join_via(self, vm: str) -> bool:
         """Report to a given node; return whether it responded."""
         async with self._report_lock:
             return await self._report_to(vm)
 
-    async def _tell(self, vm: str) -> None:
-        await self._send(vm, MemberNotice(self._membership.own))
+    async def _tell(self, vm: str) -> bool:
+        return await self._send(vm, MemberNotice(self._membership.own))
 
     async def _send(self, vm: str, message: Any) -> bool:
         """Send a message to a node; return whether it responded."""
@@ -194,6 +189,19 @@
             jitter_s = period_s * _MAX_JITTER * random.random()  # noqa: S311
             await asyncio.sleep(period_s + jitter_s)
 
+    async def _report_to_best(self) -> bool:
+        """Report to the best relay; return whether that is another node."""
+        async with self._report_lock:
+            own = self._membership.own
+            candidates = self._ranking.candidates(own.failure_domain)
+            if self._relay_vm in candidates[1:]:
+                # The former relay may not know the better one yet.
+                await self._report_to(self._relay_vm, all_members=True)
+            for vm in candidates:
+                if await self._report_to(vm):
+                    return vm != own.vm
+            return False
+
     async def _report_to(self, vm: str, *, all_members: bool = False) -> bool:
         if vm != self._relay_vm:
             self._position = _NO_POSITION
--- a/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/http_servers.py
@@ -151,8 +151,7 @@
             return web.Response(status=_BAD_REQUEST)
         if request_kind is NodeRequestKind.departure:
             self._publisher.mark_leaving(target_id)
-            await self._departures.wait_until_kept()
-            return web.json_response({})
+            return await self._acknowledge_departure()
         return await self._handle_announcement(request, target_id)
 
     async def _handle_announcement(
@@ -170,9 +169,16 @@
             self._events.record_node_event('bad-announcement', why=str(error))
             return web.Response(status=_BAD_REQUEST)
         if announcement.state is TargetState.draining:
-            await self._departures.wait_until_kept()
+            return await self._acknowledge_departure()
         return web.json_response({})
 
+    async def _acknowledge_departure(self) -> web.Response:
+        """Return a success if a restart of this node would not undo it."""
+        if await self._departures.wait_until_kept():
+            return web.json_response({})
+        self._events.record_node_event('departure-not-kept')
+        return web.Response(status=_UNAVAILABLE)
+
 
 class MetricsEndpoint:
     """Serve the metrics in the Prometheus text format.
--- a/tests/functional/test_platform_departures.py
+++ b/tests/functional/test_platform_departures.py
@@ -1,11 +1,14 @@
 """Tests of nodes on the fake platform: targets that have left, and restarts."""
 
+import asyncio
+import functools
 import time
 
 import pytest
 from lib.platform_fleet import (
     announce_late,
     deregister,
+    kill_node,
     requests_at_target,
     restart_node,
     running_fleet,
@@ -15,6 +18,8 @@
 
 # Of the platform: a node is in touch this long after its start.
 _STABLE_S = 3
+# A target waits this long for an acknowledgement.
+_ACKNOWLEDGEMENT_S = 1
 
 
 # Guards against a target that had left and was in use again after a restart of
@@ -97,3 +102,27 @@
             )
         )
         assert await requests_at_target(fleet, 0, 0) == 0
+
+
+# Guards against an acknowledgement of what a kill of the node would undo, since
+# neither the store nor a peer knows it.
+@pytest.mark.parametrize('operation', ['heartbeat', 'deregister'])
+async def test_departure_that_is_kept_nowhere_is_not_acknowledged(operation):
+    async with running_fleet('stock', 'stock') as fleet:
+        await kill_node(fleet.nodes[1])
+        fleet.store.error_status = 503
+        announcement = fleet.targets[0].make_announcement(state='draining')
+        send_notice = functools.partial(
+            fleet.call_control_api,
+            0,
+            f'instances.{operation}',
+            fleet.targets[0].target_id,
+            announcement,
+        )
+        async with asyncio.timeout(_ACKNOWLEDGEMENT_S):
+            assert await send_notice() == 503
+        assert fleet.components(0).registration.state == 'draining'
+        fleet.store.error_status = 0
+        await asyncio.sleep(_STABLE_S)
+        assert await send_notice() == 200
+        assert 'chivelead/departures/vm-0' in fleet.store.entries
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -165,6 +165,7 @@
     Its entry in the store is not deleted.
     """
     components = node._components
+    node._stopping = True
     for task in node._tasks:
         task.cancel()
     for component in (
