--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -55,7 +55,12 @@
 # Components that do not close in time are abandoned: the process exits anyway,
 # and peers and the store detect the closed connections.
 _CLOSE_TIMEOUT_S = 0.3
+_HANDOVER_TIMEOUT_S = 0.1
+# Largest parts of the time until SIGKILL that each of these takes.
+_MAX_CLOSE_FRACTION = 0.4
+_MAX_HANDOVER_FRACTION = 0.15
 _PUBLISH_PERIOD_S = 0.5
+_MS_PER_S = 1000
 
 
 class ProxyDaemon:
@@ -150,7 +155,7 @@
         components.inbound.draining = True
         components.publisher.publish()
         components.membership.update_own(relay=False)
-        await RequestDrain(
+        drain = RequestDrain(
             self._settings.bounds.grace_ms,
             components.ingress,
             components.call_runner.timeouts,
@@ -158,7 +163,26 @@
             self._caller_connections,
             self._control_connections,
             self._peer_server,
-        ).wait(shutdown_started_ms)
+        )
+        await drain.wait(shutdown_started_ms)
+        killed_ms = shutdown_started_ms + self._settings.bounds.grace_ms
+        left_s = max(0, killed_ms - now_ms()) / _MS_PER_S
+        # Callers are answered all the while, until the process has gone.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                min(_CLOSE_TIMEOUT_S, left_s * _MAX_CLOSE_FRACTION)
+            ):
+                await components.reporter.leave()
+                await self._close_components()
+        await drain.look_again()
+        self._caller_connections.end_exchanges()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                min(_HANDOVER_TIMEOUT_S, left_s * _MAX_HANDOVER_FRACTION)
+            ):
+                await self._hand_over_counts()
+                await components.links.close()
+        await drain.refuse_rest()
         components.events.record_node_event(
             'node-closed',
             waited_ms=round(now_ms() - shutdown_started_ms),
@@ -167,12 +191,6 @@
             undelivered_bytes=self._caller_connections.undelivered_bytes(),
             open_connections=self._caller_connections.count_open(),
         )
-        self._caller_connections.end_exchanges()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_CLOSE_TIMEOUT_S):
-                await components.reporter.leave()
-                await self._hand_over_counts()
-                await self._close_components()
         await self._log_writer.close()
 
     def reload(self) -> None:
@@ -218,7 +236,6 @@
             components.contacts,
             components.departures,
             components.target_ends,
-            components.links,
         ):
             await component.close()
         await components.target.close()
--- a/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/request_drain.py
@@ -22,6 +22,11 @@
 # Time to write the responses of requests that did not end by themselves.
 _LAST_RESPONSES_MS = 100.0
 _POLL_PERIOD_S = 0.05
+# Time for what arrived while the node left.
+_LAST_LOOK_MS = 40.0
+_LAST_LOOK_PERIOD_S = 0.005
+# Time for what is read while the node has nothing else to do.
+_LAST_REFUSALS_MS = 20.0
 
 
 class RequestDrain:
@@ -86,7 +91,23 @@
             # Requests at the target fail without the calls that it makes.
             self._ingress.refusing_target_calls = not self._inbound.in_flight
             if not self._is_answer_due():
-                return
+                break
+        self._ingress.refusing = True
+        self._ingress.refusing_target_calls = True
+
+    async def look_again(self) -> None:
+        """Wait a short time for the answers that became due since ``wait``."""
+        end_ms = now_ms() + _LAST_LOOK_MS
+        while self._is_answer_due() and now_ms() < end_ms:
+            await asyncio.sleep(_LAST_LOOK_PERIOD_S)
+
+    async def refuse_rest(self) -> None:
+        """Answer what has been read; the process can exit right after it."""
+        end_ms = now_ms() + _LAST_REFUSALS_MS
+        # What has arrived by now is read first.
+        await asyncio.sleep(0)
+        while self._callers.count_unanswered() and now_ms() < end_ms:
+            await asyncio.sleep(0)
 
     def _is_answer_due(self) -> bool:
         unanswered = (
--- a/tests/functional/test_platform_shutdown.py
+++ b/tests/functional/test_platform_shutdown.py
@@ -5,6 +5,8 @@
 import dataclasses
 
 import aiohttp
+from lib.fake_platform import HOST
+from lib.node_process import RawClient
 from lib.platform_fleet import running_fleet
 
 _ROUTES = (('/book/', 'orders', 'unsafe', {'timeout_ms': 9000}),)
@@ -89,3 +91,23 @@
         fleet.targets[1].response_delay_s = 9
         assert await book(fleet) == 504
         assert len(fleet.targets[1].received_requests) == 1
+
+
+# Guards against requests that count as ended by the stop, though their callers
+# read the answers while the node left the fleet.
+async def test_answer_that_is_read_while_the_node_leaves_is_no_end():
+    async with stopping_fleet(2000) as fleet:
+        fleet.targets[1].response_size_bytes = 3_000_000
+        components = fleet.components(0)
+        port = fleet.settings[0].callers_address.port
+        client = await RawClient.connect(HOST, port)
+        await client.send_request('POST', '/book/x')
+        responses = []
+
+        async def leave():
+            responses.append(await client.read_response())
+
+        components.reporter.leave = leave
+    client.close()
+    assert [status for status, _ in responses] == [200]
+    assert not components.former_ends.make_handover('', '').rows[-1].counts
