--- a/tests/lib/stop_load.py
+++ b/tests/lib/stop_load.py
@@ -85,10 +85,10 @@
         return range(_CALLERS, len(self.fleet.nodes))
 
     @contextlib.asynccontextmanager
-    async def running(self):
+    async def running(self, routes=_ROUTES):
         """Run the fleet."""
         try:
-            await self.fleet.start(routes=_ROUTES, slots=400)
+            await self.fleet.start(routes=routes, slots=400)
             for index, target in enumerate(self.fleet.targets):
                 target.response_handler = functools.partial(
                     self._respond, index
