--- a/tests/functional/test_platform_departures.py
+++ b/tests/functional/test_platform_departures.py
@@ -3,8 +3,10 @@
 import asyncio
 import functools
 import time
+import types
 
 import pytest
+from chivelead_node._internal.proxy import registration
 from lib.platform_fleet import (
     announce_late,
     deregister,
@@ -46,6 +48,22 @@
         assert await requests_at_target(fleet, 0, 0) == 0
 
 
+# Guards against the same where the time of day at the node steps back.
+async def test_departure_of_an_unknown_target_holds_after_a_clock_step(
+    monkeypatch,
+):
+    async with running_fleet('stock', 'stock') as fleet:
+        fleet.targets[0].started_ms = int(time.time() * 1000) - 2000
+        announcement = fleet.targets[0].make_announcement()
+        await restart_node(fleet, 0)
+        await wait_until_rejoined(fleet, 0, 1)
+        stepped = types.SimpleNamespace(time=lambda: time.time() - 5)
+        monkeypatch.setattr(registration, 'time', stepped)
+        await deregister(fleet, 0)
+        await announce_late(fleet, 0, announcement)
+        assert await requests_at_target(fleet, 0, 0) == 0
+
+
 # Guards against a target that is left out for good: the departure that a node
 # reads at its start is about an earlier start of the target.
 async def test_departure_ends_with_the_next_start_of_the_target():
