--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -43,7 +43,7 @@
         """Create a handler that the event loop will connect."""
         super().__init__(connections, manager, **options)
         self._asked_to_leave_ms = math.inf
-        self._probe = CallerProbe(self._write_interim, self._find_unanswered)
+        self._probe: CallerProbe | None = None
 
     @property
     def is_asked_to_leave(self) -> bool:
@@ -105,6 +105,7 @@
                 self._close_cause = EndCause.request_incomplete
             return False
         transport.input_ended = True
+        self._probe = CallerProbe(self._send_probe)
         self._probe.start()
         return True
 
@@ -182,7 +183,11 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop handling requests."""
         self._connections.discard(self)
-        self._probe.close()
+        if self._probe is not None:
+            self._probe.close()
+            # It refers to this connection, which would live on until the next
+            # garbage collection.
+            self._probe = None
         cause = self._close_cause or self._find_cause(exc)
         # A client that has gone lacks what it did not acknowledge.
         if self._exchanges or cause is EndCause.answer_not_read:
@@ -192,15 +197,18 @@
             self._open_transport = None
         super().connection_lost(exc)
 
-    def _find_unanswered(self) -> web.BaseRequest | None:
-        """Return the request that is handled if its answer has not begun."""
-        if not self._connections.is_probing or self._exchanges.is_answering:
-            return None
-        return self._current_request
+    def _send_probe(self) -> bool:
+        """Send the client a part of the answer that is due.
 
-    def _write_interim(self, raw: bytes) -> None:
-        if self.transport is not None:
-            self.transport.write(raw)
+        Returns:
+            Whether there are more parts that can be sent before it is known.
+        """
+        transport = self._open_transport
+        if transport is None:
+            return False
+        if self._current_request is None or self._exchanges.is_answering:
+            return True
+        return transport.write_early()
 
     def _find_cause(self, error: BaseException | None) -> EndCause:
         """Return why a connection ended that this node did not close."""
--- a/tests/lib/node_process.py
+++ b/tests/lib/node_process.py
@@ -25,6 +25,8 @@
 
 METRICS_PORT = 9464
 _START_TIMEOUT_S = 20
+# Tests seed the generator that they share.
+_system_random = random.SystemRandom()
 # The state of a target is known to all nodes by then.
 _REPORTS_S = 1.5
 _SETTINGS = """
@@ -74,13 +76,23 @@
 """
 
 
+def _choose_address():
+    """Return a loopback address on which no other node runs."""
+    while True:
+        network = _system_random.randrange(10, 250)
+        address = f'127.{network}.{_system_random.randrange(250)}.7'
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((address, METRICS_PORT))
+            return address
+
+
 class NodeProcess:
     """The process of one node; it logs to a file."""
 
     def __init__(self, vm, target, store, folder, failure_domain='z1'):
         """Choose an address and ports without starting the process."""
         self.vm = vm
-        self.ip = f'127.{random.randrange(10, 250)}.{random.randrange(250)}.7'
+        self.ip = _choose_address()
         ports = free_ports(5)
         self.callers_port = ports[0]
         self.probes_port = ports[1]
@@ -103,6 +115,8 @@
             'store_host': HOST,
             'store_port': store.port,
         }
+        # Descriptor that takes the place of the log.
+        self.standard_error = None
         self._process = None
 
     @property
@@ -134,7 +148,9 @@
                 },
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
-                stderr=log,
+                stderr=log
+                if self.standard_error is None
+                else self.standard_error,
             )
 
     def memory_mb(self):
@@ -223,9 +239,15 @@
         organisations=ORGANISATIONS,
         plan_text='',
         slots=None,
+        standard_error=None,
         **plan_options,
     ):
-        """Start the fleet; wait until each node knows the others."""
+        """Start the fleet; wait until each node knows the others.
+
+        Nodes log to files; ``standard_error`` of the first may be another
+        descriptor.
+        """
+        self.nodes[0].standard_error = standard_error
         self._session = aiohttp.ClientSession()
         await self.store.start()
         if self.store_proxy is not None:
@@ -242,8 +264,7 @@
         for node in self.nodes:
             await node.start()
         self._announcing = asyncio.create_task(self._announce_forever())
-        for node in self.nodes:
-            await self.wait_until_joined(node)
+        await asyncio.gather(*map(self.wait_until_joined, self.nodes))
 
     async def close(self):
         """Kill the nodes and stop the rest."""
@@ -261,11 +282,20 @@
         self._folder.cleanup()
 
     async def wait_until_joined(self, node):
-        """Wait until a node is ready and knows all others as ready."""
+        """Wait until a node is ready and knows all others as ready.
+
+        Raises:
+            ChildProcessError: The process of the node has ended.
+        """
         async with asyncio.timeout(_START_TIMEOUT_S):
             while await self.level(node, 'peers') < len(self.nodes):
                 await asyncio.sleep(0.05)
-        await wait_until(lambda: node.log_lines('target-state'))
+        # Another process may serve the metrics at its address.
+        await wait_until(
+            lambda: node.log_lines('target-state') or not node.is_running()
+        )
+        if not node.is_running():
+            raise ChildProcessError(node.log_path.read_text(errors='replace'))
         await asyncio.sleep(_REPORTS_S)
 
     async def wait_until_ready(self, node):
@@ -403,17 +433,16 @@
         self._socket.shutdown(socket.SHUT_WR)
 
     async def read_response(self, timeout_s=8):
-        """Return the status and the body of the next final response.
+        """Return the status and the body of the next response.
 
         Raises:
             EOFError: The connection ended before the response was whole.
             TimeoutError: The response did not come in time.
         """
         async with asyncio.timeout(timeout_s):
-            head, rest = await self._read_head()
-            while head.startswith(b'HTTP/1.1 100 '):
-                self._received = rest
-                head, rest = await self._read_head()
+            while b'\r\n\r\n' not in self._received:
+                await self._receive()
+            head, _, rest = self._received.partition(b'\r\n\r\n')
             status_line, *fields = head.decode('latin-1').split('\r\n')
             headers = dict(
                 field.lower().split(': ', maxsplit=1) for field in fields
@@ -433,12 +462,6 @@
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self._socket.close()
 
-    async def _read_head(self):
-        while b'\r\n\r\n' not in self._received:
-            await self._receive()
-        head, _, rest = self._received.partition(b'\r\n\r\n')
-        return head, rest
-
     async def _receive(self):
         chunk = await asyncio.get_running_loop().sock_recv(self._socket, 65_536)
         if not chunk:
--- a/tests/lib/request_soak_clients.py
+++ b/tests/lib/request_soak_clients.py
@@ -22,13 +22,14 @@
 )
 
 # A client that has no answer by then closes the connection.
-_PATIENCE_S = 1.5
-_CONNECT_TIMEOUT_S = 1.0
+PATIENCE_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
 _BLOCK_BYTES = 65_536
 # As on Ethernet; loopback would take megabytes into its buffers.
 _SEGMENT_BYTES = 1448
 _SMALL_BUFFER_BYTES = 8192
-SAFE_PREFIXES = frozenset(('/read/', '/bales/'))
+SAFE_PREFIXES = frozenset(('/read/', '/bales/', '/item/'))
+_SMALL_BLOCK_SIZES = (1, 300)
 _BLOCK_SIZES = (1, 300, 20_000, 300_000)
 _READERS = ('prompt',) * 5 + ('late', 'late', 'slow', 'leaving', 'stopped')
 
@@ -127,6 +128,29 @@
             finally:
                 connection.close()
 
+    async def call(self, prefix, deadline_s):
+        """Send a call of the target beside the node.
+
+        Returns:
+            Whether it succeeded.
+        """
+        connection = await self._connect('prompt')
+        if connection is None:
+            return False
+        exchange = self._make_call(prefix, None, (20, 5000), _SMALL_BLOCK_SIZES)
+        call = exchange[0]
+        call.organisation = ''
+        call.key = ''
+        call.deadline_s = deadline_s
+        call.habits = 'target, '
+        try:
+            await connection.exchange([exchange], close_percent=0)
+        finally:
+            connection.close()
+            if self._soak.is_over:
+                call.end = 'left'
+        return call.status == 200
+
     def _service(self):
         return self._soak.nodes[self._entry].target.service
 
@@ -141,7 +165,7 @@
             )
         sock.setblocking(False)
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().sock_connect(
                     sock, self._address()
                 )
@@ -173,6 +197,7 @@
         body=None,
         answer_sizes=SIZES,
         block_sizes=_BLOCK_SIZES,
+        callees=(),
     ):
         """Return a call, its header lines and its body."""
         rng = self._rng
@@ -190,7 +215,7 @@
             caller_service=self._service(),
             safe=is_safe,
         )
-        headers = [b'X-Play: %b' % make_play(rng, answer_sizes)]
+        headers = [b'X-Play: %b' % make_play(rng, answer_sizes, callees)]
         if call.note:
             headers.append(b'X-Note: %b' % call.note)
         if body and body.size == len(body.block) and happens(rng, 15):
@@ -200,6 +225,15 @@
         call.body_digest = body.digest() if body else digest(b'')
         return call, headers, body
 
+    def _make_small_call(self):
+        """Return a call whose request fits into one segment."""
+        return self._make_call(
+            prefix=self._rng.choice(self._soak.prefixes),
+            answer_sizes=(20, 5000),
+            block_sizes=_SMALL_BLOCK_SIZES,
+            callees=self._soak.callees,
+        )
+
 
 def _encode(encoding, body):
     """Return an encoded body; for some encodings it cannot be decoded."""
@@ -331,7 +365,7 @@
 
     async def _read(self, call, index):
         """Read an answer; return whether the connection can be used again."""
-        wait_s = call.deadline_s + _PATIENCE_S
+        wait_s = call.deadline_s + PATIENCE_S
         try:
             async with asyncio.timeout(wait_s):
                 is_kept = await self._read_answer(call, index)
@@ -412,15 +446,30 @@
         return await self.reader.read(min(most_bytes, _BLOCK_BYTES))
 
 
+def header_fields(call, headers):
+    """Return the header of a request as names and values."""
+    fields = {
+        'Host': 'shop.example',
+        'X-Request-Id': call.request_id,
+        'X-Deadline-Ms': f'{call.deadline_s * 1000:.0f}',
+    }
+    if call.key:
+        fields['Authorization'] = f'Token {call.key}'
+    for line in headers:
+        name, _, field = line.decode('latin-1').partition(': ')
+        fields[name] = field
+    return fields
+
+
 def serialize(call, headers, body):
     """Yield the bytes of a request."""
+    fields = header_fields(call, headers)
     lines = [
         f'{call.method} {call.path} HTTP/1.1'.encode(),
-        b'Host: shop.example',
-        f'X-Request-Id: {call.request_id}'.encode(),
-        f'X-Deadline-Ms: {call.deadline_s * 1000:.0f}'.encode(),
-        f'Authorization: Token {call.key}'.encode(),
-        *headers,
+        *(
+            f'{name}: {field}'.encode('latin-1')
+            for name, field in fields.items()
+        ),
     ]
     if body is None:
         yield b'\r\n'.join((*lines, b'', b''))
