--- a/packages/node/src/chivelead_node/_internal/end_causes.py
+++ b/packages/node/src/chivelead_node/_internal/end_causes.py
@@ -11,7 +11,6 @@
     """
 
     # The connection of the caller ended.
-    caller_closed = 'caller-closed'
     caller_reset = 'caller-reset'
     request_incomplete = 'request-incomplete'
     behind_last_answer = 'behind-last-answer'
@@ -19,6 +18,7 @@
     input_refused = 'input-refused'
     node_stopped = 'node-stopped'
     # The node answered, though a target may have run the request.
+    handler_failed = 'handler-failed'
     timeout = 'timeout'
     link_lost = 'link-lost'
     target_failed = 'target-failed'
--- a/packages/node/src/chivelead_node/_internal/exchanges.py
+++ b/packages/node/src/chivelead_node/_internal/exchanges.py
@@ -24,15 +24,24 @@
         request_id: See the arguments.
         vms: VMs that the request was passed on to so far.
         is_answering: Whether its answer is being written.
+        is_recorded: Whether its end without an answer has been recorded.
     """
 
-    __slots__ = ('_body', 'is_answering', 'request_id', 'started_ms', 'vms')
+    __slots__ = (
+        '_body',
+        'is_answering',
+        'is_recorded',
+        'request_id',
+        'started_ms',
+        'vms',
+    )
 
     def __init__(self, request_id: str, body: StreamReader) -> None:
         """Create an exchange whose head was read."""
         self.request_id = request_id
         self.vms = _NO_VMS
         self.is_answering = False
+        self.is_recorded = False
         self.started_ms = loop_ms()
         self._body = body
 
@@ -122,8 +131,23 @@
             cause: Why they end.
             inputs: What is known of the connection, for the log.
         """
-        while self._open:
-            self._record(self._open.popleft(), cause, **inputs)
+        self.record_all(cause, **inputs)
+        self._open.clear()
+
+    def record_all(self, cause: EndCause, **inputs: object) -> None:
+        """Record that all requests will end without an answer.
+
+        Args:
+            cause: Why they will end.
+            inputs: What is known of the connection, for the log.
+        """
+        for exchange in self._open:
+            self._record(exchange, cause, **inputs)
+
+    def record_failure(self, cause: EndCause, **inputs: object) -> None:
+        """Record that the oldest request gets an answer of the node's own."""
+        if self._open:
+            self._record(self._open[0], cause, **inputs)
 
     def record_cut_answer(self, cause: EndCause, **inputs: object) -> None:
         """Record that the last answer does not reach its reader whole."""
@@ -138,6 +162,9 @@
     def _record(
         self, exchange: Exchange, cause: EndCause, **inputs: object
     ) -> None:
+        if exchange.is_recorded:
+            return
+        exchange.is_recorded = True
         self._ends.record_cut(
             exchange.request_id,
             cause,
--- a/packages/node/src/chivelead_node/_internal/nonblocking_output.py
+++ b/packages/node/src/chivelead_node/_internal/nonblocking_output.py
@@ -84,4 +84,8 @@
         if not self._output.is_full:
             line = f'{self.format(record)}\n'
             self._output.add(line.encode(errors='replace'))
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
         self._output.flush()
--- a/packages/node/src/chivelead_node/_internal/proxy/daemon.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/daemon.py
@@ -171,7 +171,7 @@
                 await components.reporter.leave()
                 await self._close_components()
         await drain.look_again()
-        self._caller_connections.end_exchanges()
+        self._end_exchanges()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(
                 min(_HANDOVER_TIMEOUT_S, left_s * _MAX_HANDOVER_FRACTION)
@@ -179,6 +179,19 @@
                 await self._hand_over_counts()
                 await components.links.close()
         await drain.refuse_rest()
+        self._record_closed(shutdown_started_ms)
+        await self._log_writer.close()
+
+    def reload(self) -> None:
+        """Log a reload request; settings are only read at startup."""
+        self._components.events.record_node_event(
+            'reload', effect='read at the next start'
+        )
+
+    def _record_closed(self, shutdown_started_ms: float) -> None:
+        # Some requests have been read since the counts were handed over.
+        self._end_exchanges()
+        components = self._components
         components.events.record_node_event(
             'node-closed',
             waited_ms=round(now_ms() - shutdown_started_ms),
@@ -187,13 +200,10 @@
             undelivered_bytes=self._caller_connections.undelivered_bytes(),
             open_connections=self._caller_connections.count_open(),
         )
-        await self._log_writer.close()
 
-    def reload(self) -> None:
-        """Log a reload request; settings are only read at startup."""
-        self._components.events.record_node_event(
-            'reload', effect='read at the next start'
-        )
+    def _end_exchanges(self) -> None:
+        self._caller_connections.end_exchanges()
+        self._control_connections.end_exchanges()
 
     async def _hand_over_counts(self) -> None:
         components = self._components
--- a/packages/node/src/chivelead_node/_internal/request_reader.py
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -112,6 +112,9 @@
         if isinstance(exc, web.RequestPayloadError):
             status, message = _BAD_REQUEST, 'the body of the request is invalid'
         elif not isinstance(exc, HttpProcessingError):
+            self._exchanges.record_failure(
+                EndCause.handler_failed, client=self.client, error=repr(exc)
+            )
             failure = super().handle_error(request, status, exc, message)
             # The base class would drop the requests behind this one.
             failure._keep_alive = None  # noqa: SLF001, WPS437
--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -43,6 +43,7 @@
         """Create a handler that the event loop will connect."""
         super().__init__(connections, manager, **options)
         self._asked_to_leave_ms = math.inf
+        self._is_cut_recorded = False
         self._probe: CallerProbe | None = None
 
     @property
@@ -163,12 +164,14 @@
         """
         undelivered_bytes = self.undelivered_bytes()
         if self._exchanges:
-            self._exchanges.end_all(
+            # Some may still be answered; the end of the connection is near.
+            self._exchanges.record_all(
                 cause,
                 client=self.client,
                 undelivered_bytes=undelivered_bytes,
             )
-        elif undelivered_bytes:
+        elif undelivered_bytes and not self._is_cut_recorded:
+            self._is_cut_recorded = True
             self._exchanges.record_cut_answer(
                 cause,
                 client=self.client,
@@ -217,8 +220,6 @@
             return EndCause.answer_not_read
         if isinstance(error, OSError):
             return EndCause.caller_reset
-        if error is None and self.input_ended:
-            return EndCause.caller_closed
         return EndCause.unlisted
 
     def _process_keepalive(self) -> None:
