--- a/packages/node/src/chivelead_node/_internal/message_ends.py
+++ b/packages/node/src/chivelead_node/_internal/message_ends.py
@@ -25,6 +25,11 @@
         """Return whether a message that is now complete had no trailers."""
         return self._last == _CHUNKED_END
 
+    @property
+    def ends_with_empty_line(self) -> bool:
+        """Return whether a head or a chunked body may end here."""
+        return self._last.endswith(_EMPTY_LINE)
+
     def append(self, data: bytes) -> None:  # noqa: WPS110
         """Record received bytes."""
         if len(data) < _END_LENGTH:
--- a/packages/node/src/chivelead_node/_internal/request_reader.py
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -220,7 +220,8 @@
             if body is None or not body.is_eof():
                 continue
             unread = len(bodies) - index
-            if unread:
+            # The parser may hold the start of a request behind the body.
+            if unread or not self._received.ends_with_empty_line:
                 self._stop_reading(unread)
                 return
             if not self._received.end_without_trailers:
--- a/packages/node/tests/unit/test_request_ends.py
+++ b/packages/node/tests/unit/test_request_ends.py
@@ -179,6 +179,31 @@
     assert connections.ends.counts() == expected
 
 
+# Guards against a body that runs as a request: its head was cut in two behind a
+# chunked body with more empty lines than are split at once.
+@pytest.mark.parametrize('missing_bytes', [1, 2, 3, 40])
+async def test_request_behind_many_empty_lines_is_not_split(missing_bytes):
+    seen = []
+
+    async def respond(request):
+        seen.append((request.path, await request.read()))
+        return web.Response(text='hello')
+
+    lines = b'%x\r\n%s\r\n0\r\n\r\n' % (1200, b'\r\n\r\n' * 300)
+    body = b'GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n'
+    raw = _encode(b'/two', body=body)
+    cut = raw.index(body) - missing_bytes
+    async with serving(respond, make_connections()) as port:
+        sock = await _open(port)
+        await _send(sock, _encode(b'/one', _CHUNKED, lines) + raw[:cut])
+        with contextlib.suppress(OSError):
+            await _send(sock, raw[cut:])
+        await asyncio.sleep(_ENDED_S)
+        sock.close()
+    assert seen[0] == ('/one', b'\r\n\r\n' * 300)
+    assert seen[1:] in ([], [('/two', body)])
+
+
 # Guards against failures of a handler that are counted nowhere, and against
 # ends that the node makes and that are blamed on the caller.
 @pytest.mark.parametrize(
