--- a/packages/cli/src/chivelead_cli/_internal/commands/status.py
+++ b/packages/cli/src/chivelead_cli/_internal/commands/status.py
@@ -87,11 +87,7 @@
         view = await view_fleet(
             await context.node_addresses(store, ()), fleet_secret
         )
-        members = {
-            member.vm: member
-            for report in view.reports
-            for member in report.members
-        }
+        members = view.newest_members()
         if vm not in members:
             context.print_line(f'vm={vm} is not known to any reachable node')
             return context.ExitStatus.invalid
--- a/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
+++ b/packages/cli/src/chivelead_cli/_internal/operations/fleet_view.py
@@ -39,6 +39,10 @@
     reports: tuple[StatusReport, ...]
     unreachable: tuple[str, ...]
 
+    def newest_members(self) -> dict[str, Member]:
+        """Return the newest entry of each VM that a report lists."""
+        return _newest_members(self.reports)
+
     def count_ends(self) -> dict[str, int]:
         """Return the requests without the answer of a target, by cause."""
         sums: collections.Counter[str] = collections.Counter()
@@ -113,18 +117,28 @@
     secret: str,
 ) -> FleetView:
     """Return the status of all nodes known to the nodes at ``addresses``."""
-    members: dict[str, Member] = {}
+    first_reports = []
     for address in addresses:
         try:
             report = await request_node(address, secret, StatusQuery())
         except ChiveleadError:
             continue
-        members.update((member.vm, member) for member in report.members)
-    alive = [member for member in members.values() if member.alive]
-    replies = await request_nodes(alive, secret, StatusQuery())
+        first_reports.append(report)
+    asked = [
+        member
+        for member in _newest_members(first_reports).values()
+        if member.alive
+    ]
+    replies = await request_nodes(asked, secret, StatusQuery())
     reports = tuple(reply for reply in replies if reply is not None)
+    # A node that has just left is known as such to a part of the fleet.
+    known = _newest_members((*first_reports, *reports))
     responding = {report.vm for report in reports}
-    unreachable = sorted({member.vm for member in alive} - responding)
+    unreachable = sorted(
+        member.vm
+        for member in asked
+        if member.vm not in responding and known[member.vm].alive
+    )
     return FleetView(reports, tuple(unreachable))
 
 
@@ -165,14 +179,9 @@
         limit: Maximum number of events from each node.
     """
     view = await view_fleet(addresses, secret)
-    members = {
-        member.vm: member
-        for report in view.reports
-        for member in report.members
-        if member.alive
-    }
+    members = view.newest_members().values()
     replies = await request_nodes(
-        members.values(),
+        (member for member in members if member.alive),
         secret,
         TimelineQuery(request_id, limit),
     )
@@ -182,6 +191,16 @@
     return sorted(events, key=lambda event: (event.stamp, event.vm))
 
 
+def _newest_members(reports: Iterable[StatusReport]) -> dict[str, Member]:
+    members: dict[str, Member] = {}
+    for report in reports:
+        for member in report.members:
+            known = members.get(member.vm)
+            if known is None or member.rank > known.rank:
+                members[member.vm] = member
+    return members
+
+
 def _parse_counts(text: str) -> dict[str, int]:
     pairs = (pair.rpartition(':') for pair in text.split(',') if pair)
     return {name: int(count) for name, _, count in pairs}
