--- a/packages/node/src/chivelead_node/_internal/request_reader.py
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -75,6 +75,7 @@
         self._received = ReceivedBytes()
         self._unparsed = b''
         self._waits_for_turn = False
+        self._counts_soon = False
         # Of a body whose length is known; the parser may not have it yet.
         self._body_left_bytes = 0
         self._chunked_body: StreamReader | None = None
@@ -119,8 +120,12 @@
 
     def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT
         """Go on, as a part of a body was read."""
-        super().resume_reading(resume_parser)
-        self._count_memory()
+        # A body calls this for each of its pieces.
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+        if not self._counts_soon:
+            self._counts_soon = True
+            self._loop.call_soon(self._count_memory)
 
     def handle_error(
         self,
@@ -146,6 +151,7 @@
 
     def _count_memory(self) -> None:
         """Count what was received and has not been read or answered."""
+        self._counts_soon = False
         account = self._account
         if account is None:
             return
--- a/packages/protocol/src/chivelead_protocol/_internal/bounded_responses.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/bounded_responses.py
@@ -83,6 +83,12 @@
         if not self._waits_for_turn:
             self._parse_some(FREE_BYTES)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT
+        """Go on, as a part of a body was read."""
+        # A body calls this for each of its pieces.
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse the rest, and fail what is not complete."""
         if exc is None and self._parser is not None:
--- a/packages/protocol/src/chivelead_protocol/_internal/counted_responses.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/counted_responses.py
@@ -37,6 +37,7 @@
         self._edge = edge
         self._memory = memory
         self._account: ConnectionAccount | None = None
+        self._counts_soon = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the memory of an open connection."""
@@ -57,7 +58,9 @@
     def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT
         """Go on, as a part of a body was read."""
         super().resume_reading(resume_parser)
-        self._count_memory()
+        if not self._counts_soon:
+            self._counts_soon = True
+            self._loop.call_soon(self._count_memory)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give the memory back."""
@@ -81,6 +84,7 @@
 
     def _count_memory(self) -> None:
         """Count what was received and has not been read."""
+        self._counts_soon = False
         if self._account is None:
             return
         held_bytes = self.framing_limit.cost_bytes()
