--- a/packages/node/src/chivelead_node/_internal/proxy/unread_bytes.py
+++ b/packages/node/src/chivelead_node/_internal/proxy/unread_bytes.py
@@ -1,12 +1,9 @@
 """What the kernel has received for connections that have not read it."""
 
-import array
-import fcntl
 import itertools
-import termios
 from collections.abc import Sequence
 
-from chivelead_protocol.bounds import ConnectionAccount
+from chivelead_protocol.bounds import ConnectionAccount, unread_bytes
 
 # Each socket costs a system call.
 _MAX_SOCKETS = 100
@@ -35,11 +32,4 @@
     transport = account.transport
     if transport is None or transport.is_closing():
         return 0
-    sock = transport.get_extra_info('socket')
-    unread = array.array('i', [0])
-    try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, unread)
-    except (AttributeError, OSError, ValueError):
-        # It is no socket, or was closed.
-        return 0
-    return unread[0]
+    return unread_bytes(transport)
--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -261,9 +261,8 @@
         On one that is idle, a request may be on its way.
         """
         account = self._account
-        is_idle = account is not None and not account.received_bytes
-        if is_idle:
-            return self._is_expendable()
+        if account is not None and not account.received_bytes:
+            return account.is_expendable()
         return not self._exchanges.has_whole_request
 
     def _evict(self) -> None:
--- a/packages/node/tests/unit/test_idle_connections.py
+++ b/packages/node/tests/unit/test_idle_connections.py
@@ -1,13 +1,17 @@
 """Tests of the end of connections on which nothing is sent for long."""
 
 import asyncio
+import contextlib
+import time
 
 from aiohttp import web
 from chivelead_node._internal import connection_set
+from chivelead_protocol.bounds import ConnectionMemory, edges
 from lib.connections import make_connections, serving
 from lib.fake_platform import HOST
 
 _IDLE_TIMEOUT_S = 0.1
+_LINE_END = b'\r\n'
 _REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 
 
@@ -43,5 +47,40 @@
         writer.close()
 
 
+class _HeldUpConnections(connection_set.ServerConnections):
+    """Set of connections that may be held up before a new one finds room."""
+
+    hold_up = staticmethod(lambda: None)
+
+    def open_account(self, *callbacks):
+        """Return the account of a new connection."""
+        self.hold_up()
+        return super().open_account(*callbacks)
+
+
+# Guards against requests that arrive while the process is held up and are lost:
+# their connection seems to be idle, and gives way to a new one.
+async def test_connection_with_an_unread_request_does_not_give_way():
+    edge = edges.CALLERS
+    memory = ConnectionMemory(1.5 * edge.reserved_bytes / edge.fraction)
+    connections = make_connections(_HeldUpConnections, memory=memory)
+    async with serving(_answer, connections) as port:
+        reader, writer = await asyncio.open_connection(HOST, port)
+
+        def send_while_held_up():
+            time.sleep(0.5)
+            writer.write(_REQUEST)
+
+        with contextlib.closing(writer):
+            writer.write(_REQUEST)
+            await reader.readuntil(b'\r\n\r\n')
+            connections.hold_up = send_while_held_up
+            others = await asyncio.open_connection(HOST, port)
+            with contextlib.closing(others[1]):
+                head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 ')
+    assert memory.refused_count == 1
+
+
 async def _answer(_):
     return web.Response(body=b'')
--- a/packages/protocol/src/chivelead_protocol/_internal/connection_memory.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/connection_memory.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from chivelead_protocol._internal.clock import loop_ms
+from chivelead_protocol._internal.delivery import unread_bytes
 from chivelead_protocol._internal.edges import Edge
 from chivelead_protocol._internal.parse_turns import ParseTurns
 
@@ -211,7 +212,6 @@
         """Create an account that holds what an idle connection costs."""
         self.edge = edge
         self.evict = evict
-        self.is_expendable = is_expendable
         self.may_be_cut = may_be_cut
         self.received_bytes = 0
         self.kept_bytes = 0
@@ -219,6 +219,7 @@
         self.last_active_ms = loop_ms()
         self._held_since_ms = self.last_active_ms
         self._memory = memory
+        self._is_expendable = is_expendable
 
     @property
     def held_bytes(self) -> int:
@@ -227,6 +228,15 @@
             0, self._content_bytes - self.edge.little_bytes
         )
 
+    def is_expendable(self) -> bool:
+        """Return whether closing the connection does no harm.
+
+        One that seems silent may only not have been read.
+        """
+        if not self._is_expendable():
+            return False
+        return self.transport is None or not unread_bytes(self.transport)
+
     def is_large(self) -> bool:
         """Return whether the connection may be closed for what it holds."""
         return (
--- a/packages/protocol/src/chivelead_protocol/_internal/delivery.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/delivery.py
@@ -1,4 +1,4 @@
-"""What a connection has sent and its peer has not acknowledged."""
+"""What the kernel holds of a connection."""
 
 import array
 import asyncio
@@ -14,14 +14,26 @@
     platform can't tell.
     """
     buffered = transport.get_write_buffer_size()
+    # Known as SIOCOUTQ for sockets.
+    return buffered + _ask_socket(transport, termios.TIOCOUTQ)
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes that the kernel has received and nobody has read.
+
+    They count as zero where the platform can't tell.
+    """
+    return _ask_socket(transport, termios.FIONREAD)
+
+
+def _ask_socket(transport: asyncio.BaseTransport, request: int) -> int:
     sock = transport.get_extra_info('socket')
     if sock is None:
-        return buffered
-    unacknowledged = array.array('i', [0])
+        return 0
+    answer = array.array('i', [0])
     try:
-        # Known as SIOCOUTQ for sockets.
-        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, unacknowledged)
+        fcntl.ioctl(sock.fileno(), request, answer)
     except (OSError, ValueError):
         # The socket is closed, or the platform lacks the call.
-        return buffered
-    return buffered + unacknowledged[0]
+        return 0
+    return answer[0]
--- a/packages/protocol/src/chivelead_protocol/bounds/__init__.py
+++ b/packages/protocol/src/chivelead_protocol/bounds/__init__.py
@@ -22,6 +22,9 @@
 from chivelead_protocol._internal.counted_responses import (
     bounded_connector as bounded_connector,
 )
+from chivelead_protocol._internal.delivery import (
+    unread_bytes as unread_bytes,
+)
 from chivelead_protocol._internal.errors_without_frames import (
     describe_error as describe_error,
 )
