--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -248,6 +248,8 @@
         account = self._account
         if account is None or self._exchanges.has_whole_request:
             return False
+        if self._waits_for_turn:
+            return False
         is_idle = not (self._exchanges or account.received_bytes)
         limit_ms = _MIN_IDLE_MS if is_idle else _MIN_STALLED_MS
         silent_ms = loop_ms() - account.last_active_ms
--- a/packages/node/tests/unit/test_idle_connections.py
+++ b/packages/node/tests/unit/test_idle_connections.py
@@ -6,13 +6,16 @@
 
 from aiohttp import web
 from chivelead_node._internal import connection_set
-from chivelead_protocol.bounds import ConnectionMemory, edges
+from chivelead_protocol.bounds import ConnectionMemory, ParseTurns, edges
 from lib.connections import make_connections, serving
 from lib.fake_platform import HOST
 
 _IDLE_TIMEOUT_S = 0.1
 _LINE_END = b'\r\n'
 _REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+_LONG_REQUEST = _REQUEST.replace(
+    _LINE_END, b'\r\nX-Filler: %b\r\n' % (b'x' * 3000), 1
+)
 
 
 class _Connections(connection_set.ServerConnections):
@@ -82,5 +85,41 @@
     assert memory.refused_count == 1
 
 
+class _LateTurns(ParseTurns):
+    """Turns that come when a test says so."""
+
+    def __init__(self):
+        """Create an order in which nobody waits."""
+        super().__init__()
+        self.waiting = []
+
+    def wait(self, go_on):
+        """Keep a function until the test calls it."""
+        self.waiting.append(go_on)
+
+
+# Guards against the same where the request has been read, and waits to be
+# parsed behind what others have sent.
+async def test_connection_with_an_unparsed_request_does_not_give_way():
+    edge = edges.CALLERS
+    memory = ConnectionMemory(1.5 * edge.reserved_bytes / edge.fraction)
+    turns = _LateTurns()
+    memory.turns = turns
+    connections = make_connections(memory=memory)
+    async with serving(_answer, connections) as port:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        with contextlib.closing(writer):
+            writer.write(_LONG_REQUEST)
+            await asyncio.sleep(1.1)
+            others = await asyncio.open_connection(HOST, port)
+            with contextlib.closing(others[1]):
+                async with asyncio.timeout(1):
+                    assert not await others[0].read()
+            while turns.waiting:
+                turns.waiting.pop()()
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 ')
+
+
 async def _answer(_):
     return web.Response(body=b'')
