--- a/packages/node/src/chivelead_node/_internal/request_reader.py
+++ b/packages/node/src/chivelead_node/_internal/request_reader.py
@@ -76,6 +76,9 @@
         self._unparsed = b''
         self._waits_for_turn = False
         self._counts_soon = False
+        # Whether a body has paused the parser, which notices it only when the
+        # next part of a body comes.
+        self._parser_may_stop = False
         # Of a body whose length is known; the parser may not have it yet.
         self._body_left_bytes = 0
         self._chunked_body: StreamReader | None = None
@@ -118,6 +121,11 @@
             self._parse_some(FREE_BYTES)
         self._count_memory()
 
+    def pause_reading(self) -> None:
+        """Stop parsing, as much of a body is not read."""
+        self._parser_may_stop = True
+        super().pause_reading()
+
     def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT
         """Go on, as a part of a body was read."""
         # A body calls this for each of its pieces.
@@ -258,6 +266,9 @@
         body = self._last_body
         known_bytes = 0 if body is None else body.total_bytes
         RequestHandler.data_received(self, part)
+        if self._parser_may_stop and not self._is_parsing_paused():
+            # It may have stopped for a pause that is over.
+            RequestHandler.data_received(self, b'')
         body_bytes = 0 if body is None else body.total_bytes - known_bytes
         self._handle_parsed(queued, part, body_bytes)
 
--- a/packages/protocol/src/chivelead_protocol/_internal/bounded_responses.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/bounded_responses.py
@@ -65,6 +65,9 @@
         self._new_bodies: list[StreamReader] = []
         self._turns = turns or ParseTurns()
         self._waits_for_turn = False
+        # Whether a body has paused the parser, which notices it only when the
+        # next part of a body comes.
+        self._parser_may_stop = False
         self._unparsed = b''
         # Whether what follows is a body that is not in chunks.
         self._is_plain = False
@@ -83,6 +86,11 @@
         if not self._waits_for_turn:
             self._parse_some(FREE_BYTES)
 
+    def pause_reading(self) -> None:
+        """Stop parsing, as much of a body is not read."""
+        self._parser_may_stop = True
+        super().pause_reading()
+
     def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT
         """Go on, as a part of a body was read."""
         # A body calls this for each of its pieces.
@@ -192,6 +200,9 @@
         current = self._payload
         known_bytes = 0 if current is None else current.total_bytes
         ResponseHandler.data_received(self, part)
+        if self._parser_may_stop and not self._reading_paused:
+            # It may have stopped for a pause that is over.
+            ResponseHandler.data_received(self, b'')
         body_bytes = sum(body.total_bytes for body in self._new_bodies)
         self._new_bodies.clear()
         if current is not None:
