--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -248,7 +248,8 @@
         account = self._account
         if account is None or self._exchanges.has_whole_request:
             return False
-        if self._waits_for_turn:
+        if self._waits_for_turn and not self._exchanges:
+            # What waits to be parsed may be a whole request.
             return False
         is_idle = not (self._exchanges or account.received_bytes)
         limit_ms = _MIN_IDLE_MS if is_idle else _MIN_STALLED_MS
--- a/packages/protocol/src/chivelead_protocol/_internal/connection_memory.py
+++ b/packages/protocol/src/chivelead_protocol/_internal/connection_memory.py
@@ -231,11 +231,13 @@
     def is_expendable(self) -> bool:
         """Return whether closing the connection does no harm.
 
-        One that seems silent may only not have been read.
+        One that seems idle may only not have been read.
         """
         if not self._is_expendable():
             return False
-        return self.transport is None or not unread_bytes(self.transport)
+        if self.received_bytes or self.transport is None:
+            return True
+        return not unread_bytes(self.transport)
 
     def is_large(self) -> bool:
         """Return whether the connection may be closed for what it holds."""
