--- a/packages/node/src/chivelead_node/_internal/server_connection.py
+++ b/packages/node/src/chivelead_node/_internal/server_connection.py
@@ -319,9 +319,15 @@
         After a pause of the process, timers may run before anything is read.
         """
         self._keepalive_handle = self._loop.call_later(
-            _IDLE_CHECK_S, super()._process_keepalive
+            _IDLE_CHECK_S, self._close_if_idle
         )
 
+    def _close_if_idle(self) -> None:
+        if self._waits_for_turn:
+            self._process_keepalive()
+        else:
+            RequestReader._process_keepalive(self)
+
 
 class ConnectionServer(web.Server):
     """Server whose connections are in a set.
--- a/packages/node/tests/unit/test_idle_connections.py
+++ b/packages/node/tests/unit/test_idle_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 
 from aiohttp import web
@@ -121,5 +122,30 @@
             assert head.startswith(b'HTTP/1.1 200 ')
 
 
+# Guards against a timer that closes a connection with a request that was read
+# and waits to be parsed.
+async def test_idle_connection_is_parsed_before_it_is_closed():
+    memory = ConnectionMemory(math.inf)
+    turns = _LateTurns()
+    memory.turns = turns
+    async with serving(
+        _answer,
+        make_connections(memory=memory),
+        keepalive_timeout=_IDLE_TIMEOUT_S,
+    ) as port:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        with contextlib.closing(writer):
+            writer.write(_REQUEST)
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(_LONG_REQUEST)
+            await asyncio.sleep(3 * _IDLE_TIMEOUT_S)
+            while turns.waiting:
+                turns.waiting.pop()()
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 ')
+            async with asyncio.timeout(1):
+                assert not await reader.read()
+
+
 async def _answer(_):
     return web.Response(body=b'')
