--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -21,6 +21,7 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HEARTBEAT_S = 1.5
 
 
 class Record:
@@ -231,7 +232,7 @@
             for node in self.nodes:
                 if node.target.accepts_heartbeats:
                     await self._announce(node)
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(HEARTBEAT_S)
 
     async def _announce(self, node):
         # A node that has not started yet refuses the connection.
